--- /dev/null
+++ b/control/agent.cc
@@ -0,0 +1,181 @@
+#include "control/agent.h"
+
+#include "membership/peers.h"
+#include "telemetry/log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <random>
+
+namespace orioletrail {
+
+namespace detail {
+
+    constexpr Millis idlePause { 100 };
+    constexpr Millis leastBackoff { 100 };
+    constexpr Millis mostBackoff { 2000 };
+
+    Millis withJitter(Millis pause)
+    {
+        static thread_local std::mt19937_64 random { std::random_device {}() };
+        return Millis(std::uniform_int_distribution<Millis::rep>(pause.count() / 2, pause.count())(random));
+    }
+
+} // namespace detail
+
+Agent::Agent(boost::asio::any_io_executor executor, AgentSettings settings, Platform platform, std::function<void(const ControlView&)> published)
+    : m_executor(std::move(executor))
+    , m_settings(std::move(settings))
+    , m_platform(std::move(platform))
+    , m_published(std::move(published))
+    , m_control(m_settings.zone, m_settings.freshness,
+          { [this](const ControlView& view) { onView(view); }, [this](const ConfigDelta& news) { onNews(news); } })
+{
+}
+
+Agent::~Agent() = default;
+
+bool Agent::start()
+{
+    if (!m_settings.gossip.empty()) {
+        m_server = std::make_unique<GossipServer>([this](Message&& message, const GossipServer::Reply& reply) {
+            if (auto* request = std::get_if<GossipRequest>(&message))
+                onRequest(std::move(*request), reply);
+            else
+                reply(GossipReply {});
+        });
+        if (!m_server->listen(m_settings.gossip)) {
+            m_lastError = m_server->lastError();
+            return false;
+        }
+        boost::asio::co_spawn(m_executor, gossipLoop(), boost::asio::detached);
+    }
+    boost::asio::co_spawn(m_executor, watchLoop(), boost::asio::detached);
+    return true;
+}
+
+void Agent::stop()
+{
+    m_stopped = true;
+    m_server.reset();
+    m_neighbours.clear();
+}
+
+Task<> Agent::sleep(Millis pause)
+{
+    boost::asio::steady_timer timer(m_executor, pause);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+}
+
+bool Agent::isWatcher() const
+{
+    return !m_settings.gossip.empty() && watchRank(*m_view.config, m_settings.name, m_settings.zone) < watchersPerZone;
+}
+
+bool Agent::shouldAskPlatform() const
+{
+    if (!m_view.config->revision || isWatcher())
+        return true;
+    const auto rank = static_cast<Millis::rep>(watchRank(*m_view.config, m_settings.name, m_settings.zone));
+    return m_view.freshness.age(Clock::now()) > m_settings.askAfter + rank * m_settings.askStep;
+}
+
+Task<> Agent::watchLoop()
+{
+    Millis backoff = detail::leastBackoff;
+    while (!m_stopped) {
+        Millis pause = detail::idlePause;
+        if (shouldAskPlatform()) {
+            const bool watching = isWatcher() && m_view.config->revision;
+            const bool answered = co_await askPlatform(watching ? m_settings.watchWait : Millis(0));
+            backoff = answered ? detail::leastBackoff : std::min(backoff * 2, detail::mostBackoff);
+            pause = answered && watching ? Millis(0) : detail::withJitter(backoff);
+        }
+        co_await sleep(pause);
+    }
+}
+
+Task<bool> Agent::askPlatform(Millis wait)
+{
+    const TimePoint sent = Clock::now();
+    const uint64_t since = m_view.config->revision;
+    std::optional<ConfigDelta> delta = co_await m_platform.list(std::string(configPrefix), since, wait);
+    if (!delta)
+        co_return false;
+    // A watch that ended with nothing waited the whole time at the platform.
+    const TimePoint asked = delta->changes.empty() ? std::min(sent + wait, Clock::now()) : sent;
+    m_control.offer(std::move(*delta), m_settings.zone, asked, Millis(0));
+    co_return true;
+}
+
+Task<> Agent::gossipLoop()
+{
+    size_t turn = 0;
+    while (!m_stopped) {
+        updateNeighbours();
+        if (!m_neighbours.empty()) {
+            const auto next = std::next(m_neighbours.begin(), static_cast<ptrdiff_t>(turn++ % m_neighbours.size()));
+            gossipWith(*next->second, {});
+        }
+        co_await sleep(m_settings.gossipTick);
+    }
+}
+
+void Agent::updateNeighbours()
+{
+    const ConfigView& config = *m_view.config;
+    if (config.revision && config.revision == m_neighboursFrom)
+        return;
+    m_neighboursFrom = config.revision;
+    std::vector<std::string> addresses;
+    for (const std::string& name : chooseNeighbours(config, m_settings.name, m_settings.neighbours))
+        addresses.push_back(config.instances.find(name)->second.gossip);
+    if (addresses.empty())
+        addresses = m_settings.peers;
+    std::erase_if(m_neighbours, [&](const auto& item) { return std::find(addresses.begin(), addresses.end(), item.first) == addresses.end(); });
+    for (const std::string& address : addresses)
+        if (!m_neighbours.contains(address) && address != m_settings.gossip)
+            m_neighbours.emplace(address, std::make_unique<GossipClient>(address, m_settings.gossipTimeout));
+}
+
+void Agent::gossipWith(GossipClient& peer, const ConfigDelta& news)
+{
+    const TimePoint sent = Clock::now();
+    const GossipRequest request { m_settings.name, m_settings.zone, m_view.config->revision, news };
+    peer.call(request, [this, sent](std::optional<Message> message) {
+        if (!message)
+            return;
+        if (auto* reply = std::get_if<GossipReply>(&*message))
+            m_control.offer(std::move(reply->delta), reply->zone, sent, Millis(reply->ageMs));
+    });
+}
+
+void Agent::onRequest(GossipRequest&& request, const GossipServer::Reply& reply)
+{
+    if (!request.news.changes.empty())
+        m_control.offer(std::move(request.news), std::move(request.zone), std::nullopt, Millis(0));
+    m_control.ask(request.revision, [this, reply](ConfigDelta delta, const ControlView& view) {
+        const auto age = static_cast<uint64_t>(view.freshness.age(Clock::now()).count());
+        reply(GossipReply { m_settings.name, m_settings.zone, age, std::move(delta) });
+    });
+}
+
+void Agent::onView(const ControlView& view)
+{
+    boost::asio::post(m_executor, [this, view] { m_view = view; });
+    m_published(view);
+}
+
+void Agent::onNews(const ConfigDelta& news)
+{
+    boost::asio::post(m_executor, [this, news] {
+        for (auto& [address, peer] : m_neighbours)
+            gossipWith(*peer, news);
+    });
+}
+
+} // namespace orioletrail
--- /dev/null
+++ b/gateway/client.cc
@@ -0,0 +1,202 @@
+// The HTTP client on Boost.Beast.
+#include "gateway/http.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+namespace orioletrail {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace detail {
+
+    constexpr size_t maxIdleConnections = 256;
+    constexpr size_t readBytes = 16 * 1024;
+
+    struct PooledStream {
+        explicit PooledStream(const asio::any_io_executor& executor)
+            : m_stream(executor)
+        {
+        }
+
+        boost::beast::tcp_stream m_stream;
+        boost::beast::flat_buffer m_buffer;
+    };
+
+    using StreamPtr = std::shared_ptr<PooledStream>;
+
+    HttpFailure failureOf(const error_code& error, const std::shared_ptr<HttpCallToken>& token)
+    {
+        if (token && token->isCancelled())
+            return HttpFailure::Cancelled;
+        return error == boost::beast::error::timeout ? HttpFailure::Timeout : HttpFailure::Lost;
+    }
+
+    template <class Fields>
+    HeaderList toHeaders(const Fields& fields)
+    {
+        HeaderList headers;
+        for (const auto& field : fields)
+            headers.emplace_back(field.name_string(), field.value());
+        return headers;
+    }
+
+} // namespace detail
+
+struct HttpClient::State {
+    State(asio::any_io_executor executor, std::string_view address, uint16_t port)
+        : m_executor(std::move(executor))
+        , m_endpoint(asio::ip::make_address(address), port)
+    {
+    }
+
+    // A kept connection that its peer has not closed, or nothing.
+    detail::StreamPtr takeIdle()
+    {
+        while (!m_idle.empty()) {
+            detail::StreamPtr stream = std::move(m_idle.back());
+            m_idle.pop_back();
+            char byte = 0;
+            error_code error;
+            stream->m_stream.socket().non_blocking(true, error);
+            stream->m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+            if (error == asio::error::would_block)
+                return stream;
+        }
+        return nullptr;
+    }
+
+    Task<detail::StreamPtr> connect(Millis timeout, error_code& error)
+    {
+        auto stream = std::make_shared<detail::PooledStream>(m_executor);
+        stream->m_stream.expires_after(timeout);
+        co_await stream->m_stream.async_connect(m_endpoint, asio::redirect_error(asio::use_awaitable, error));
+        if (!error)
+            stream->m_stream.socket().set_option(tcp::no_delay(true), error);
+        co_return stream;
+    }
+
+    void keep(const detail::StreamPtr& stream)
+    {
+        if (m_idle.size() < detail::maxIdleConnections)
+            m_idle.push_back(stream);
+    }
+
+    asio::any_io_executor m_executor;
+    tcp::endpoint m_endpoint;
+    std::vector<detail::StreamPtr> m_idle;
+};
+
+namespace detail {
+
+    http::request<http::string_body> toMessage(HttpRequest&& request, const tcp::endpoint& endpoint)
+    {
+        http::request<http::string_body> message;
+        message.version(11);
+        message.method_string(request.method);
+        message.target(request.target);
+        for (const auto& [name, value] : request.headers)
+            message.set(name, value);
+        message.set(http::field::host, endpoint.address().to_string() + ":" + std::to_string(endpoint.port()));
+        message.body() = std::move(request.body);
+        message.prepare_payload();
+        return message;
+    }
+
+    // Reads the body in pieces and hands each to the hook.
+    Task<error_code> readBody(PooledStream& stream, http::response_parser<http::buffer_body>& parser, const HttpStreamHooks& hooks)
+    {
+        std::vector<char> piece(readBytes);
+        while (!parser.is_done()) {
+            parser.get().body().data = piece.data();
+            parser.get().body().size = piece.size();
+            parser.get().body().more = true;
+            error_code error;
+            co_await http::async_read_some(stream.m_stream, stream.m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+            if (error && error != http::error::need_buffer)
+                co_return error;
+            const size_t bytes = piece.size() - parser.get().body().size;
+            if (bytes)
+                co_await hooks.chunk({ piece.data(), bytes });
+        }
+        co_return error_code();
+    }
+
+    Task<error_code> exchange(PooledStream& stream, const http::request<http::string_body>& message,
+        http::response_parser<http::buffer_body>& parser, const HttpStreamHooks& hooks)
+    {
+        error_code error;
+        co_await http::async_write(stream.m_stream, message, asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return error;
+        parser.body_limit(boost::none);
+        co_await http::async_read_header(stream.m_stream, stream.m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return error;
+        co_await hooks.head(parser.get().result_int(), toHeaders(parser.get()));
+        co_return co_await readBody(stream, parser, hooks);
+    }
+
+} // namespace detail
+
+HttpClient::HttpClient(asio::any_io_executor executor, std::string_view address, uint16_t port)
+    : m_state(std::make_shared<State>(std::move(executor), address, port))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+Task<HttpResult> HttpClient::stream(HttpCall call, HttpStreamHooks hooks)
+{
+    const std::shared_ptr<State> state = m_state;
+    HttpResult result;
+    detail::StreamPtr stream = call.reuse ? state->takeIdle() : nullptr;
+    if (!stream) {
+        error_code error;
+        stream = co_await state->connect(call.timeout, error);
+        if (error || (call.token && call.token->isCancelled())) {
+            result.failure = HttpFailure::Connect;
+            co_return result;
+        }
+    }
+    if (call.token)
+        call.token->onCancel([stream] { stream->m_stream.close(); });
+    const auto message = detail::toMessage(std::move(call.request), state->m_endpoint);
+    http::response_parser<http::buffer_body> parser;
+    stream->m_stream.expires_after(call.timeout);
+    const error_code error = co_await detail::exchange(*stream, message, parser, hooks);
+    if (call.token)
+        call.token->onCancel(nullptr);
+    if (error) {
+        result.failure = detail::failureOf(error, call.token);
+        co_return result;
+    }
+    result.status = parser.get().result_int();
+    result.headers = detail::toHeaders(parser.get());
+    stream->m_stream.expires_never();
+    if (parser.keep_alive())
+        state->keep(stream);
+    co_return result;
+}
+
+Task<HttpResult> HttpClient::call(HttpCall call)
+{
+    std::string body;
+    HttpStreamHooks hooks;
+    hooks.head = [](unsigned, const HeaderList&) -> Task<> { co_return; };
+    hooks.chunk = [&body](std::string_view piece) -> Task<> {
+        body += piece;
+        co_return;
+    };
+    HttpResult result = co_await stream(std::move(call), std::move(hooks));
+    result.body = std::move(body);
+    co_return result;
+}
+
+} // namespace orioletrail
--- /dev/null
+++ b/gateway/server.cc
@@ -0,0 +1,290 @@
+// The HTTP server on Boost.Beast.
+#include "gateway/http.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+namespace orioletrail {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
+    State(asio::any_io_executor executor, HttpLimits limits, HttpHandler handler, RefusalHook refusal)
+        : m_acceptor(executor)
+        , m_limits(limits)
+        , m_handler(std::move(handler))
+        , m_refusal(std::move(refusal))
+    {
+    }
+
+    tcp::acceptor m_acceptor;
+    HttpLimits m_limits;
+    HttpHandler m_handler;
+    RefusalHook m_refusal;
+    size_t m_connections = 0;
+    size_t m_inProgress = 0;
+    bool m_stopping = false;
+};
+
+namespace detail {
+
+    constexpr Millis sendTimeout { 30'000 };
+
+    // Writes answers on one connection and watches for its end while a handler runs.
+    class SocketResponder final : public Responder, public std::enable_shared_from_this<SocketResponder> {
+    public:
+        SocketResponder(boost::beast::tcp_stream& stream, bool keepAlive)
+            : m_stream(stream)
+            , m_keepAlive(keepAlive)
+        {
+        }
+
+        Task<> respond(const HttpAnswer& answer) override
+        {
+            http::response<http::string_body> response(static_cast<http::status>(answer.status), 11);
+            setHeaders(response, answer.headers);
+            response.body() = answer.body;
+            response.prepare_payload();
+            m_begun = m_ended = true;
+            m_stream.expires_after(sendTimeout);
+            error_code error;
+            co_await http::async_write(m_stream, response, asio::redirect_error(asio::use_awaitable, error));
+            m_failed = m_failed || error;
+        }
+
+        Task<> begin(unsigned status, const HeaderList& headers) override
+        {
+            http::response<http::empty_body> response(static_cast<http::status>(status), 11);
+            setHeaders(response, headers);
+            response.chunked(true);
+            m_begun = true;
+            http::response_serializer<http::empty_body> serializer(response);
+            m_stream.expires_after(sendTimeout);
+            error_code error;
+            co_await http::async_write_header(m_stream, serializer, asio::redirect_error(asio::use_awaitable, error));
+            m_failed = m_failed || error;
+        }
+
+        Task<bool> chunk(std::string_view data) override
+        {
+            if (m_failed || data.empty())
+                co_return !m_failed;
+            m_stream.expires_after(sendTimeout);
+            error_code error;
+            co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(data)),
+                asio::redirect_error(asio::use_awaitable, error));
+            m_failed = m_failed || error;
+            co_return !m_failed;
+        }
+
+        Task<> end() override
+        {
+            m_ended = true;
+            error_code error;
+            if (!m_failed)
+                co_await asio::async_write(m_stream, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, error));
+            m_failed = m_failed || error;
+        }
+
+        void abort() override
+        {
+            m_failed = true;
+            error_code ignored;
+            m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+        }
+
+        void onCallerGone(std::function<void()> hook) override
+        {
+            m_gone = std::move(hook);
+            watch();
+        }
+
+        // Ends the watch for the caller's end.
+        void finish()
+        {
+            m_gone = nullptr;
+            if (m_watching)
+                m_stream.socket().cancel();
+        }
+
+        void closeAfterAnswer() { m_keepAlive = false; }
+        bool isBegun() const { return m_begun; }
+        bool keepsConnection() const { return m_keepAlive && m_ended && !m_failed; }
+
+    private:
+        template <class Response>
+        void setHeaders(Response& response, const HeaderList& headers)
+        {
+            for (const auto& [name, value] : headers)
+                response.set(name, value);
+            response.keep_alive(m_keepAlive);
+        }
+
+        // Readable while an answer is due means either a pipelined request or the end.
+        void watch()
+        {
+            if (m_watching)
+                return;
+            m_watching = true;
+            m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+                self->m_watching = false;
+                if (error || !self->m_gone)
+                    return;
+                char byte = 0;
+                error_code peekError;
+                self->m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peekError);
+                if (peekError && peekError != asio::error::would_block)
+                    std::exchange(self->m_gone, nullptr)();
+            });
+        }
+
+        boost::beast::tcp_stream& m_stream;
+        std::function<void()> m_gone;
+        bool m_keepAlive;
+        bool m_begun = false;
+        bool m_ended = false;
+        bool m_failed = false;
+        bool m_watching = false;
+    };
+
+    HttpRequest toRequest(http::request<http::string_body>&& message)
+    {
+        HttpRequest request;
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        for (const auto& field : message)
+            request.headers.emplace_back(field.name_string(), field.value());
+        request.body = std::move(message.body());
+        return request;
+    }
+
+    std::pair<unsigned, Reason> classify(const error_code& error)
+    {
+        if (error == http::error::header_limit || error == http::error::buffer_overflow)
+            return { 431, Reason::HeaderTooLarge };
+        if (error == http::error::body_limit)
+            return { 413, Reason::BodyTooLarge };
+        if (error == boost::beast::error::timeout)
+            return { 408, Reason::BadRequest };
+        return { 400, Reason::BadRequest };
+    }
+
+    using ServerState = std::shared_ptr<HttpServer::State>;
+
+    Task<> refuse(const ServerState& state, boost::beast::tcp_stream& stream, unsigned status, Reason reason)
+    {
+        auto responder = std::make_shared<SocketResponder>(stream, false);
+        co_await responder->respond(state->m_refusal(status, reason));
+        error_code ignored;
+        stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
+    // Serves one request. False if the connection is to be closed.
+    Task<bool> serveOne(const ServerState& state, boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer)
+    {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(static_cast<std::uint32_t>(state->m_limits.headerBytes));
+        parser.body_limit(state->m_limits.bodyBytes);
+        stream.expires_after(state->m_limits.receiveTimeout);
+        error_code error;
+        co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            const bool idle = !parser.got_some();
+            if (!idle && error != asio::error::connection_reset) {
+                const auto [status, reason] = classify(error);
+                stream.expires_after(sendTimeout);
+                co_await refuse(state, stream, status, reason);
+            }
+            co_return false;
+        }
+        stream.expires_never();
+        const bool keepAlive = parser.get().keep_alive() && !state->m_stopping;
+        const HttpRequest request = toRequest(parser.release());
+        auto responder = std::make_shared<SocketResponder>(stream, keepAlive);
+        ++state->m_inProgress;
+        co_await state->m_handler(request, *responder);
+        --state->m_inProgress;
+        responder->finish();
+        co_return responder->keepsConnection() && !state->m_stopping;
+    }
+
+    Task<> serve(ServerState state, tcp::socket socket)
+    {
+        boost::beast::tcp_stream stream(std::move(socket));
+        boost::beast::flat_buffer buffer(state->m_limits.headerBytes + state->m_limits.bodyBytes);
+        error_code ignored;
+        stream.socket().set_option(tcp::no_delay(true), ignored);
+        if (state->m_connections > state->m_limits.connections)
+            co_await refuse(state, stream, 503, Reason::NoCapacity);
+        else
+            while (co_await serveOne(state, stream, buffer)) { }
+        stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        --state->m_connections;
+    }
+
+    Task<> acceptLoop(ServerState state)
+    {
+        while (!state->m_stopping) {
+            error_code error;
+            tcp::socket socket = co_await state->m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+            if (error)
+                continue;
+            ++state->m_connections;
+            asio::co_spawn(state->m_acceptor.get_executor(), serve(state, std::move(socket)), asio::detached);
+        }
+    }
+
+} // namespace detail
+
+HttpServer::HttpServer(asio::any_io_executor executor, HttpLimits limits, HttpHandler handler, RefusalHook refusal)
+    : m_state(std::make_shared<State>(executor, limits, std::move(handler), std::move(refusal)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    stopAccepting();
+}
+
+std::optional<uint16_t> HttpServer::listen(std::string_view address, uint16_t port)
+{
+    error_code error;
+    const tcp::endpoint endpoint(asio::ip::make_address(address, error), port);
+    tcp::acceptor& acceptor = m_state->m_acceptor;
+    if (!error)
+        acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(endpoint, error);
+    if (!error)
+        acceptor.listen(tcp::acceptor::max_listen_connections, error);
+    if (error) {
+        m_lastError = "cannot listen on " + std::string(address) + ":" + std::to_string(port) + ": " + error.message();
+        return std::nullopt;
+    }
+    asio::co_spawn(acceptor.get_executor(), detail::acceptLoop(m_state), asio::detached);
+    return acceptor.local_endpoint().port();
+}
+
+void HttpServer::stopAccepting()
+{
+    m_state->m_stopping = true;
+    error_code ignored;
+    m_state->m_acceptor.close(ignored);
+}
+
+size_t HttpServer::inProgress() const
+{
+    return m_state->m_inProgress;
+}
+
+} // namespace orioletrail
--- /dev/null
+++ b/ledger/shard.cc
@@ -0,0 +1,227 @@
+#include "ledger/shard.h"
+
+namespace orioletrail {
+
+LedgerActions LedgerShard::claim(uint64_t ticket, std::string_view key, std::string_view bodyDigest, TimePoint now, int64_t unixSeconds)
+{
+    m_unixSeconds = unixSeconds;
+    Waiting waiting { std::string(key), std::string(bodyDigest), unixSeconds };
+    LedgerActions decided;
+    if (m_owned && decideKnown(waiting, ticket, decided))
+        return decided;
+    m_waiting.emplace(ticket, std::move(waiting));
+    return advance(now);
+}
+
+bool LedgerShard::abandon(uint64_t ticket)
+{
+    const auto found = m_waiting.find(ticket);
+    if (found == m_waiting.end())
+        return false;
+    // A write under way may still make the claim durable, though it will not run.
+    m_endings.try_emplace(found->second.key, Ending { claimantOf(ticket), std::nullopt });
+    m_waiting.erase(found);
+    return true;
+}
+
+LedgerActions LedgerShard::finish(uint64_t ticket, std::string_view key, RecordedAnswer answer, TimePoint now)
+{
+    if (answer.body.size() > m_settings.maxRecordedBody) {
+        answer.body.clear();
+        answer.truncated = true;
+    }
+    m_endings.insert_or_assign(std::string(key), Ending { claimantOf(ticket), std::move(answer) });
+    return advance(now);
+}
+
+LedgerActions LedgerShard::release(uint64_t ticket, std::string_view key, TimePoint now)
+{
+    m_endings.insert_or_assign(std::string(key), Ending { claimantOf(ticket), std::nullopt });
+    return advance(now);
+}
+
+LedgerActions LedgerShard::onRead(std::string_view value, uint64_t revision, TimePoint now)
+{
+    LedgerRecord stored;
+    std::string reason;
+    if (!value.empty()) {
+        std::optional<LedgerRecord> parsed = parseLedgerRecord(value, reason);
+        if (!parsed)
+            return onReadFailed(now);
+        stored = std::move(*parsed);
+    }
+    m_record = std::move(stored);
+    m_revision = revision;
+    m_loaded = true;
+    m_owned = revision && m_record.owner == m_owner;
+    return settleAndAdvance(now);
+}
+
+LedgerActions LedgerShard::onReadFailed(TimePoint now)
+{
+    m_phase = Phase::Delayed;
+    m_resumeAt = now + m_settings.retryDelay;
+    m_loaded = false;
+    m_owned = false;
+    LedgerActions actions;
+    failWaiting(actions, Reason::PlatformDown);
+    return actions;
+}
+
+LedgerActions LedgerShard::onWritten(uint64_t revision, TimePoint now)
+{
+    m_record = std::move(m_pending);
+    m_revision = revision;
+    m_owned = true;
+    return settleAndAdvance(now);
+}
+
+LedgerActions LedgerShard::onWriteUnresolved(TimePoint)
+{
+    m_owned = false;
+    m_loaded = false;
+    return startRead();
+}
+
+LedgerActions LedgerShard::onTick(TimePoint now)
+{
+    if (m_phase == Phase::Delayed && now >= m_resumeAt)
+        m_phase = Phase::Idle;
+    return advance(now);
+}
+
+std::string LedgerShard::claimantOf(uint64_t ticket) const
+{
+    return std::to_string(m_owner) + "-" + std::to_string(ticket);
+}
+
+LedgerActions LedgerShard::settleAndAdvance(TimePoint now)
+{
+    m_phase = Phase::Idle;
+    LedgerActions settled;
+    settleEndings();
+    settleClaims(settled);
+    LedgerActions next = advance(now);
+    next.results.insert(next.results.begin(), settled.results.begin(), settled.results.end());
+    return next;
+}
+
+LedgerActions LedgerShard::advance(TimePoint now)
+{
+    if (m_phase != Phase::Idle || (m_waiting.empty() && m_endings.empty()))
+        return {};
+    if (!m_loaded)
+        return startRead();
+    return now < m_nextWrite ? LedgerActions {} : startWrite(now);
+}
+
+LedgerActions LedgerShard::startRead()
+{
+    m_phase = Phase::Reading;
+    LedgerActions actions;
+    actions.read = LedgerRead {};
+    return actions;
+}
+
+LedgerActions LedgerShard::startWrite(TimePoint now)
+{
+    LedgerActions actions;
+    m_pending = m_record;
+    if (!m_owned) {
+        m_pending.owner = m_owner;
+        ++m_pending.token;
+    }
+    prune();
+    addEndings();
+    addClaims(actions);
+    if (m_waiting.empty() && m_endings.empty())
+        return actions;
+    m_phase = Phase::Writing;
+    m_nextWrite = now + m_settings.writeInterval;
+    ++m_writes;
+    actions.write = LedgerWrite { toJson(m_pending), m_revision };
+    return actions;
+}
+
+void LedgerShard::addEndings()
+{
+    for (const auto& [key, ending] : m_endings) {
+        const auto found = m_pending.entries.find(key);
+        if (found == m_pending.entries.end() || found->second.claimant != ending.claimant)
+            continue;
+        if (ending.answer)
+            found->second.answer = ending.answer;
+        else
+            m_pending.entries.erase(found);
+    }
+}
+
+void LedgerShard::addClaims(LedgerActions& actions)
+{
+    for (auto waiting = m_waiting.begin(); waiting != m_waiting.end();) {
+        const auto& [ticket, claim] = *waiting;
+        const bool known = decideKnown(claim, ticket, actions);
+        const bool full = !known && m_pending.entries.size() >= m_settings.maxEntries;
+        if (full)
+            actions.results.push_back({ ticket, Reason::LedgerFull, Outcome::NotRun, std::nullopt });
+        else if (!known)
+            m_pending.entries.try_emplace(claim.key, LedgerEntry { claim.bodyDigest, claimantOf(ticket), claim.claimedAt, std::nullopt });
+        waiting = known || full ? m_waiting.erase(waiting) : std::next(waiting);
+    }
+}
+
+void LedgerShard::settleEndings()
+{
+    std::erase_if(m_endings, [&](const auto& item) {
+        const auto& [key, ending] = item;
+        const auto found = m_record.entries.find(key);
+        return found == m_record.entries.end() || found->second.claimant != ending.claimant || found->second.answer;
+    });
+}
+
+void LedgerShard::settleClaims(LedgerActions& actions)
+{
+    if (!m_owned)
+        return;
+    for (auto waiting = m_waiting.begin(); waiting != m_waiting.end();) {
+        const auto found = m_record.entries.find(waiting->second.key);
+        const bool claimed = found != m_record.entries.end() && found->second.claimant == claimantOf(waiting->first);
+        if (claimed)
+            actions.results.push_back({ waiting->first, Reason::None, Outcome::NotRun, std::nullopt });
+        waiting = claimed ? m_waiting.erase(waiting) : std::next(waiting);
+    }
+}
+
+void LedgerShard::failWaiting(LedgerActions& actions, Reason reason)
+{
+    for (const auto& [ticket, waiting] : m_waiting) {
+        actions.results.push_back({ ticket, reason, Outcome::NotRun, std::nullopt });
+        m_endings.try_emplace(waiting.key, Ending { claimantOf(ticket), std::nullopt });
+    }
+    m_waiting.clear();
+}
+
+bool LedgerShard::decideKnown(const Waiting& waiting, uint64_t ticket, LedgerActions& actions) const
+{
+    const auto found = m_record.entries.find(waiting.key);
+    if (found == m_record.entries.end() || found->second.claimant == claimantOf(ticket))
+        return false;
+    ClaimResult result { ticket, Reason::KeyInProgress, Outcome::MayHaveRun, found->second.answer };
+    // The answer may be known here before it is written.
+    const auto ending = m_endings.find(waiting.key);
+    if (!result.answer && ending != m_endings.end() && ending->second.claimant == found->second.claimant)
+        result.answer = ending->second.answer;
+    if (found->second.bodyDigest != waiting.bodyDigest)
+        result = { ticket, Reason::KeyReused, Outcome::NotRun, std::nullopt };
+    actions.results.push_back(std::move(result));
+    return true;
+}
+
+void LedgerShard::prune()
+{
+    std::erase_if(m_pending.entries, [&](const auto& entry) {
+        return entry.second.claimedAt + m_settings.retention.count() < m_unixSeconds;
+    });
+}
+
+} // namespace orioletrail
--- /dev/null
+++ b/scripts/build.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Installs what is missing and builds into build/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/install-packages.sh
+cmake -S . -B build -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache >/dev/null
+cmake --build build
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Builds, checks formatting and lint, and runs all tests.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/build.sh
+scripts/lint.sh
+ctest --test-dir build --output-on-failure
--- /dev/null
+++ b/sidecar/attempt-runner.cc
@@ -0,0 +1,229 @@
+// Admission and execution of attempts.
+#include "base/digest.h"
+#include "sidecar/state.h"
+#include "telemetry/log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace orioletrail {
+
+namespace asio = boost::asio;
+
+namespace detail {
+
+    // How long a full window is waited for before the deadline is looked at again.
+    constexpr Millis windowPause { 100 };
+
+    std::string bodyDigest(const Open& open)
+    {
+        constexpr size_t digits = 32;
+        return sha256Hex(open.method + '\n' + open.target + '\n' + open.body).substr(0, digits);
+    }
+
+    bool isKeyExpired(std::string_view key, std::chrono::seconds retention)
+    {
+        const auto minted = mintTime(key);
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        return minted && std::chrono::seconds(*minted) + retention < now;
+    }
+
+} // namespace detail
+
+void Sidecar::State::onOpen(Peer& peer, Open&& open)
+{
+    const TimePoint now = Clock::now();
+    const Reason credit = pool.tryOpen(peer.number);
+    if (!attempts.open(open.id, peer.entryConnection)) {
+        if (credit == Reason::None)
+            pool.finish();
+        metrics.count("orioletrail_dropped_total", "reason=\"duplicate\"");
+        return;
+    }
+    auto attempt = std::make_shared<Running>(traffic.get_executor(), std::move(open));
+    attempt->deadline = now + Millis(attempt->open.deadlineMs);
+    attempt->counted = credit == Reason::None;
+    running.emplace(attempt->open.id, attempt);
+    Reason reason = closedReason(now);
+    if (reason == Reason::None)
+        reason = credit;
+    if (reason == Reason::None && attempt->open.service != settings.service)
+        reason = Reason::UnknownRoute;
+    if (reason != Reason::None)
+        fail(attempt, Outcome::NotRun, reason);
+    else
+        admit(attempt);
+}
+
+void Sidecar::State::admit(const RunningPtr& attempt)
+{
+    const Open& open = attempt->open;
+    if (open.idempotent || open.key.empty()) {
+        asio::co_spawn(traffic, execute(attempt), asio::detached);
+        return;
+    }
+    if (detail::isKeyExpired(open.key, settings.ledger.retention)) {
+        fail(attempt, Outcome::NotRun, Reason::KeyExpired);
+        return;
+    }
+    attempt->ticket = ++nextTicket;
+    attempt->claiming = true;
+    attempt->claimKey = ledgerKey(open.account, open.key);
+    claims->claim(attempt->ticket, attempt->claimKey, detail::bodyDigest(open),
+        [this, attempt](ClaimResult result) { onClaimed(attempt, std::move(result)); });
+}
+
+void Sidecar::State::onClaimed(const RunningPtr& attempt, ClaimResult result)
+{
+    attempt->claiming = false;
+    if (result.answer) {
+        replay(attempt, *result.answer);
+    } else if (result.reason != Reason::None) {
+        attempt->claimKey.clear();
+        fail(attempt, result.outcome, result.reason);
+    } else if (Clock::now() >= attempt->deadline) {
+        claims->release(attempt->ticket, attempt->claimKey);
+        fail(attempt, Outcome::NotRun, Reason::Deadline);
+    } else {
+        asio::co_spawn(traffic, execute(attempt), asio::detached);
+    }
+}
+
+void Sidecar::State::replay(const RunningPtr& attempt, const RecordedAnswer& answer)
+{
+    if (answer.truncated) {
+        fail(attempt, Outcome::MayHaveRun, Reason::KeyInProgress);
+        return;
+    }
+    metrics.count("orioletrail_replays_total");
+    Frame head;
+    head.kind = FrameKind::Head;
+    head.value = answer.status;
+    head.headers = { { "Content-Type", answer.contentType }, { "Idempotent-Replayed", "true" } };
+    sendFrame(attempt->open.id, std::move(head));
+    Frame chunk;
+    chunk.data = answer.body;
+    if (!chunk.data.empty())
+        sendFrame(attempt->open.id, std::move(chunk));
+    Frame last;
+    last.kind = FrameKind::End;
+    last.value = answer.body.size();
+    sendFrame(attempt->open.id, std::move(last));
+    end(attempt);
+}
+
+Task<> Sidecar::State::execute(RunningPtr attempt)
+{
+    const Open& open = attempt->open;
+    attempt->started = Clock::now();
+    HttpCall call;
+    call.request.method = open.method;
+    call.request.target = open.target;
+    call.request.headers = endToEndHeaders(open.headers);
+    call.request.body = open.body;
+    call.timeout = std::chrono::duration_cast<Millis>(attempt->deadline - attempt->started);
+    call.reuse = open.idempotent;
+    call.token = attempt->token;
+    HttpStreamHooks hooks;
+    hooks.head = [this, attempt](unsigned status, const HeaderList& headers) { return onHead(attempt, status, headers); };
+    hooks.chunk = [this, attempt](std::string_view data) { return onChunk(attempt, std::string(data)); };
+    const HttpResult result = co_await endpoint->stream(std::move(call), std::move(hooks));
+    onExecuted(attempt, result);
+}
+
+Task<> Sidecar::State::onHead(RunningPtr attempt, unsigned status, HeaderList headers)
+{
+    attempt->firstByte = Clock::now();
+    attempt->answer.status = status;
+    attempt->answer.contentType = std::string(findHeader(headers, "Content-Type"));
+    Frame head;
+    head.kind = FrameKind::Head;
+    head.value = status;
+    head.headers = endToEndHeaders(headers);
+    sendFrame(attempt->open.id, std::move(head));
+    co_return;
+}
+
+Task<> Sidecar::State::onChunk(RunningPtr attempt, std::string data)
+{
+    attempt->bytes += data.size();
+    if (!attempt->claimKey.empty() && attempt->answer.body.size() <= settings.ledger.maxRecordedBody)
+        attempt->answer.body += data;
+    Frame chunk;
+    chunk.data = std::move(data);
+    sendFrame(attempt->open.id, std::move(chunk));
+    while (attempts.isWindowFull(attempt->open.id) && !attempt->token->isCancelled() && Clock::now() < attempt->deadline) {
+        attempt->window.expires_after(detail::windowPause);
+        boost::system::error_code ignored;
+        co_await attempt->window.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+void Sidecar::State::onExecuted(const RunningPtr& attempt, const HttpResult& result)
+{
+    const TimePoint now = Clock::now();
+    const bool failed = !result.ok() || result.status >= 500;
+    const auto firstByte = std::chrono::duration_cast<Millis>(attempt->firstByte.value_or(now) - attempt->started);
+    if (result.failure != HttpFailure::Cancelled)
+        ramp.onCompleted(firstByte, failed);
+    metrics.observe("orioletrail_endpoint_seconds", now - attempt->started);
+    settleClaim(attempt, result);
+    switch (result.failure) {
+    case HttpFailure::None: {
+        Frame last;
+        last.kind = FrameKind::End;
+        last.value = attempt->bytes;
+        sendFrame(attempt->open.id, std::move(last));
+        end(attempt);
+        return;
+    }
+    case HttpFailure::Connect:
+        ramp.onLost();
+        fail(attempt, Outcome::NotRun, Reason::Unreachable);
+        return;
+    case HttpFailure::Lost:
+        fail(attempt, Outcome::MayHaveRun, Reason::EndpointDied);
+        return;
+    case HttpFailure::Timeout:
+        fail(attempt, Outcome::MayHaveRun, Reason::Deadline);
+        return;
+    case HttpFailure::Cancelled:
+        fail(attempt, Outcome::MayHaveRun, Reason::CallerGone);
+    }
+}
+
+void Sidecar::State::settleClaim(const RunningPtr& attempt, const HttpResult& result)
+{
+    if (attempt->claimKey.empty())
+        return;
+    if (result.ok())
+        claims->finish(attempt->ticket, attempt->claimKey, attempt->answer);
+    else if (result.failure == HttpFailure::Connect)
+        claims->release(attempt->ticket, attempt->claimKey);
+}
+
+void Sidecar::State::fail(const RunningPtr& attempt, Outcome outcome, Reason reason)
+{
+    metrics.countRefusal(reason, outcome);
+    if (isLogged(LogLevel::Debug))
+        log(LogLevel::Debug, "attempt failed", { { "attempt", format(attempt->open.id) }, { "run", std::string(outcomeName(outcome)) }, { "reason", std::string(reasonName(reason)) } });
+    Frame failed;
+    failed.kind = FrameKind::Failed;
+    failed.outcome = outcome;
+    failed.reason = reason;
+    sendFrame(attempt->open.id, std::move(failed));
+    end(attempt);
+}
+
+void Sidecar::State::end(const RunningPtr& attempt)
+{
+    if (!running.erase(attempt->open.id))
+        return;
+    if (attempt->counted)
+        pool.finish();
+    updateCredits();
+}
+
+} // namespace orioletrail
--- /dev/null
+++ b/sidecar/peer-messages.cc
@@ -0,0 +1,163 @@
+// Connections from entries and the messages on them.
+#include "sidecar/state.h"
+#include "telemetry/log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace orioletrail {
+
+Task<> Sidecar::State::acceptLoop()
+{
+    while (acceptor.is_open()) {
+        boost::system::error_code error;
+        boost::asio::ip::tcp::socket socket = co_await acceptor.async_accept(boost::asio::redirect_error(boost::asio::use_awaitable, error));
+        if (!error)
+            addPeer(std::move(socket));
+    }
+}
+
+void Sidecar::State::addPeer(boost::asio::ip::tcp::socket socket)
+{
+    const uint64_t number = ++nextPeer;
+    Peer& peer = peers[number];
+    peer.number = number;
+    peer.connection = std::make_shared<Connection>(std::move(socket));
+    peer.connection->start({ [this, number](Message&& message) { receive(number, std::move(message)); },
+        [this, number](std::string_view) { removePeer(number); } });
+}
+
+void Sidecar::State::removePeer(uint64_t number)
+{
+    const auto found = peers.find(number);
+    if (found == peers.end())
+        return;
+    const auto current = peerOfEntry.find(found->second.entry);
+    if (current != peerOfEntry.end() && current->second == number)
+        peerOfEntry.erase(current);
+    peers.erase(found);
+    pool.disconnect(number);
+    updateCredits();
+}
+
+void Sidecar::State::receive(uint64_t number, Message&& message)
+{
+    const auto found = peers.find(number);
+    if (found == peers.end())
+        return;
+    Peer& peer = found->second;
+    if (auto* hello = std::get_if<Hello>(&message))
+        onHello(peer, *hello);
+    else if (!peer.entry)
+        peer.connection->close("no hello");
+    else if (auto* open = std::get_if<Open>(&message))
+        onOpen(peer, std::move(*open));
+    else if (auto* ack = std::get_if<Ack>(&message))
+        onAck(*ack);
+    else if (auto* cancel = std::get_if<Cancel>(&message))
+        onCancel(*cancel);
+    else if (auto* resume = std::get_if<Resume>(&message))
+        onResume(peer, *resume);
+    else if (auto* ping = std::get_if<Ping>(&message))
+        onPing(peer, *ping);
+    else if (auto* want = std::get_if<Want>(&message))
+        pool.want(number, want->credits), updateCredits();
+    else if (auto* returned = std::get_if<Return>(&message))
+        pool.giveBack(number, returned->credits), updateCredits();
+    else if (auto* delta = std::get_if<ConfigDelta>(&message))
+        agent->control().offer(std::move(*delta), peer.zone, std::nullopt, Millis(0));
+}
+
+void Sidecar::State::onHello(Peer& peer, const Hello& hello)
+{
+    const std::optional<uint64_t> replaced = attempts.hello(hello.entry, hello.connection);
+    if (!replaced || !hello.entry) {
+        peer.connection->close("an entry has a newer connection");
+        return;
+    }
+    peer.entry = hello.entry;
+    peer.entryConnection = hello.connection;
+    peer.zone = hello.zone;
+    const uint64_t number = peer.number;
+    const auto former = peerOfEntry.find(hello.entry);
+    const std::shared_ptr<Connection> formerConnection = former == peerOfEntry.end() ? nullptr : peers.at(former->second).connection;
+    peerOfEntry[hello.entry] = number;
+    pool.connect(number);
+    peer.connection->send(Welcome { settings.name, settings.zone, startNumber });
+    sendPing(peer);
+    if (formerConnection)
+        formerConnection->close("replaced by a newer connection");
+    updateCredits();
+}
+
+void Sidecar::State::onPing(Peer& peer, const Ping& ping)
+{
+    const std::optional<HeartbeatProof> proof = peer.heartbeat.receive(ping);
+    if (proof)
+        agent->control().offer(ConfigDelta { 0, ping.revision, {} }, peer.zone, proof->asked, proof->age);
+    sendPing(peer);
+    if (ping.revision < view.config->revision)
+        sendConfigTo(peer.number, ping.revision);
+}
+
+void Sidecar::State::sendPing(Peer& peer)
+{
+    const TimePoint now = Clock::now();
+    peer.connection->send(peer.heartbeat.make(view.config->revision, view.freshness.age(now), closedReason(now), now));
+}
+
+void Sidecar::State::sendConfigTo(uint64_t number, uint64_t since)
+{
+    agent->control().ask(since, [this, number](const ConfigDelta& delta, const ControlView&) {
+        boost::asio::post(traffic, [this, number, delta] {
+            const auto peer = peers.find(number);
+            if (peer == peers.end())
+                return;
+            peer->second.heartbeat.setPeerRevision(delta.to);
+            peer->second.connection->send(delta);
+        });
+    });
+}
+
+void Sidecar::State::onResume(Peer& peer, const Resume& resume)
+{
+    metrics.count("orioletrail_resumes_total");
+    for (const Frame& frame : attempts.resume(resume.id, resume.next))
+        peer.connection->send(frame);
+}
+
+void Sidecar::State::onAck(const Ack& ack)
+{
+    attempts.ack(ack.id, ack.next);
+    if (const auto found = running.find(ack.id); found != running.end())
+        found->second->window.cancel();
+}
+
+void Sidecar::State::onCancel(const Cancel& cancel)
+{
+    const auto found = running.find(cancel.id);
+    if (found == running.end())
+        return;
+    const RunningPtr attempt = found->second;
+    metrics.count("orioletrail_cancels_total");
+    if (attempt->claiming && claims->abandon(attempt->ticket, attempt->claimKey)) {
+        fail(attempt, Outcome::NotRun, Reason::CallerGone);
+        return;
+    }
+    // A request that must not run twice goes on, so that its answer can be recorded.
+    if (attempt->open.idempotent)
+        attempt->token->cancel();
+}
+
+void Sidecar::State::sendFrame(const AttemptId& id, Frame frame)
+{
+    const std::optional<Frame> numbered = attempts.append(id, std::move(frame), Clock::now());
+    const auto number = peerOfEntry.find(id.entry);
+    if (numbered && number != peerOfEntry.end())
+        peers.at(number->second).connection->send(*numbered);
+}
+
+} // namespace orioletrail
--- /dev/null
+++ b/sidecar/sidecar.cc
@@ -0,0 +1,310 @@
+#include "sidecar/sidecar.h"
+
+#include "base/digest.h"
+#include "sidecar/state.h"
+#include "telemetry/log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+#include <random>
+
+namespace orioletrail {
+
+namespace asio = boost::asio;
+
+namespace detail {
+
+    constexpr Millis tickInterval { 50 };
+    constexpr Millis ledgerInterval { 10 };
+    // Probes that may fail in a row before the endpoint counts as lost.
+    constexpr uint32_t probeFailuresAllowed = 3;
+
+    Task<> sleep(asio::any_io_executor executor, Millis pause)
+    {
+        asio::steady_timer timer(executor, pause);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+
+    std::optional<LoadReport> parseLoad(std::string_view text)
+    {
+        boost::system::error_code error;
+        const boost::json::value value = boost::json::parse(text, error);
+        if (error || !value.is_object())
+            return std::nullopt;
+        const auto& object = value.get_object();
+        LoadReport report;
+        if (const auto* start = object.if_contains("start"))
+            report.start = start->to_number<uint64_t>(error);
+        if (const auto* inFlight = object.if_contains("inFlight"))
+            report.inFlight = inFlight->to_number<uint32_t>(error);
+        if (const auto* rate = object.if_contains("cacheHitRate"))
+            report.cacheHitRate = rate->to_number<double>(error);
+        return report.start ? std::optional(report) : std::nullopt;
+    }
+
+} // namespace detail
+
+Sidecar::Sidecar(SidecarSettings settings)
+    : m_state(std::make_unique<State>(std::move(settings)))
+{
+}
+
+Sidecar::~Sidecar() = default;
+
+bool Sidecar::run()
+{
+    if (!m_state->start(m_lastError))
+        return false;
+    m_state->run();
+    return true;
+}
+
+bool validate(const SidecarSettings& settings, std::string& reason)
+{
+    const std::pair<std::string_view, const std::string*> addresses[] = { { "--listen", &settings.listen },
+        { "--endpoint", &settings.endpoint }, { "--platform", &settings.platform }, { "--admin", &settings.admin } };
+    for (const auto& [flag, value] : addresses) {
+        if (!parseAddress(*value)) {
+            reason = std::string(flag) + ": \"" + *value + "\" is not an address of the form IP:PORT";
+            return false;
+        }
+    }
+    if (settings.ramp.coldLimit > settings.ramp.warmLimit) {
+        reason = "--cold-limit: " + std::to_string(settings.ramp.coldLimit) + " is above --warm-limit "
+            + std::to_string(settings.ramp.warmLimit);
+        return false;
+    }
+    return true;
+}
+
+Sidecar::State::State(SidecarSettings given)
+    : settings(std::move(given))
+    , startNumber(std::random_device {}() | static_cast<uint64_t>(std::random_device {}()) << 32)
+    , ramp(settings.ramp)
+{
+}
+
+bool Sidecar::State::start(std::string& reason)
+{
+    if (!validate(settings, reason))
+        return false;
+    const auto [endpointHost, endpointPort] = *parseAddress(settings.endpoint);
+    const auto [platformHost, platformPort] = *parseAddress(settings.platform);
+    const auto [adminHost, adminPort] = *parseAddress(settings.admin);
+    const auto [listenHost, listenPort] = *parseAddress(settings.listen);
+    endpoint = std::make_unique<HttpClient>(traffic.get_executor(), endpointHost, endpointPort);
+    claims = std::make_unique<Claims>(traffic.get_executor(),
+        makeHttpPlatform(traffic.get_executor(), platformHost, platformPort, settings.platformTimeout, metrics),
+        settings.service, startNumber, settings.ledger);
+    AgentSettings agentSettings;
+    agentSettings.name = settings.name;
+    agentSettings.zone = settings.zone;
+    agentSettings.freshness = settings.freshness;
+    agent = std::make_unique<Agent>(controlIo.get_executor(), agentSettings,
+        makeHttpPlatform(controlIo.get_executor(), platformHost, platformPort, settings.platformTimeout, metrics),
+        [this](const ControlView& latest) { asio::post(traffic, [this, latest] { onView(latest); }); });
+    admin = std::make_unique<HttpServer>(
+        controlIo.get_executor(), HttpLimits {}, [this](const HttpRequest& request, Responder& responder) { return serveAdmin(request, responder); },
+        [](unsigned status, Reason) { return HttpAnswer { status, {}, {} }; });
+    if (!admin->listen(adminHost, adminPort)) {
+        reason = "--admin: " + admin->lastError();
+        return false;
+    }
+    boost::system::error_code error;
+    const asio::ip::tcp::endpoint local(asio::ip::make_address(listenHost), listenPort);
+    acceptor.open(local.protocol(), error);
+    acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+    if (!acceptor.bind(local, error))
+        acceptor.listen(asio::ip::tcp::acceptor::max_listen_connections, error);
+    if (error) {
+        reason = "--listen: cannot listen on " + settings.listen + ": " + error.message();
+        return false;
+    }
+    return agent->start();
+}
+
+void Sidecar::State::run()
+{
+    log(LogLevel::Info, "sidecar started", { { "instance", settings.name }, { "zone", settings.zone }, { "listen", settings.listen }, { "endpoint", settings.endpoint } });
+    signals.async_wait([this](boost::system::error_code error, int) {
+        if (!error)
+            shutDown();
+    });
+    asio::co_spawn(traffic, acceptLoop(), asio::detached);
+    asio::co_spawn(traffic, tickLoop(), asio::detached);
+    asio::co_spawn(traffic, ledgerLoop(), asio::detached);
+    asio::co_spawn(traffic, probeLoop(), asio::detached);
+    controlThread = std::thread([this] { controlIo.run(); });
+    traffic.run();
+    controlIo.stop();
+    controlThread.join();
+    agent->stop();
+    log(LogLevel::Info, "sidecar stopped", { { "instance", settings.name } });
+}
+
+void Sidecar::State::onView(const ControlView& latest)
+{
+    const bool changed = latest.config->revision != view.config->revision;
+    view = latest;
+    if (!changed)
+        return;
+    const bool zoneOut = view.config->isZoneOut(settings.zone);
+    if (wasZoneOut && !zoneOut)
+        ramp.restart();
+    wasZoneOut = zoneOut;
+    updateCredits();
+    for (auto& [number, peer] : peers) {
+        sendPing(peer);
+        if (peer.heartbeat.peerRevision() < view.config->revision)
+            sendConfigTo(number, peer.heartbeat.peerRevision());
+    }
+}
+
+Reason Sidecar::State::closedReason(TimePoint now) const
+{
+    if (stopping)
+        return Reason::ShuttingDown;
+    if (!view.mayAct(now))
+        return Reason::NoConfiguration;
+    if (view.config->isZoneOut(settings.zone))
+        return Reason::ZoneOut;
+    const auto own = view.config->endpoints.find(settings.name);
+    if (own == view.config->endpoints.end() || own->second.leaving)
+        return Reason::Leaving;
+    return ramp.isProbed() ? Reason::None : Reason::NotProbed;
+}
+
+void Sidecar::State::updateCredits()
+{
+    pool.setLimit(closedReason(Clock::now()) == Reason::None ? ramp.limit() : 0);
+    for (const CreditChange& change : pool.rebalance()) {
+        const auto peer = peers.find(change.connection);
+        if (peer == peers.end())
+            continue;
+        if (change.credits > 0)
+            peer->second.connection->send(Grant { static_cast<uint32_t>(change.credits) });
+        else
+            peer->second.connection->send(Recall { static_cast<uint32_t>(-change.credits) });
+    }
+}
+
+Task<> Sidecar::State::tickLoop()
+{
+    while (true) {
+        co_await detail::sleep(traffic.get_executor(), detail::tickInterval);
+        tick();
+    }
+}
+
+Task<> Sidecar::State::ledgerLoop()
+{
+    while (true) {
+        co_await detail::sleep(traffic.get_executor(), detail::ledgerInterval);
+        claims->tick();
+    }
+}
+
+void Sidecar::State::tick()
+{
+    const TimePoint now = Clock::now();
+    attempts.expire(now);
+    std::vector<RunningPtr> late;
+    for (const auto& [id, attempt] : running)
+        if (attempt->claiming && now >= attempt->deadline)
+            late.push_back(attempt);
+    for (const RunningPtr& attempt : late) {
+        claims->abandon(attempt->ticket, attempt->claimKey);
+        fail(attempt, Outcome::NotRun, Reason::Deadline);
+    }
+    std::vector<std::shared_ptr<Connection>> silent;
+    for (auto& [number, peer] : peers)
+        if (now - peer.connection->lastReceived() > heartbeatTimeout)
+            silent.push_back(peer.connection);
+    for (const auto& connection : silent) {
+        metrics.count("orioletrail_silent_connections_total");
+        connection->close("silent");
+    }
+    updateCredits();
+    updateGauges();
+}
+
+void Sidecar::State::updateGauges()
+{
+    const Reason closed = closedReason(Clock::now());
+    ready = closed == Reason::None;
+    metrics.set("orioletrail_limit", ramp.limit());
+    metrics.set("orioletrail_in_flight", pool.inFlight());
+    metrics.set("orioletrail_credits_held", pool.held());
+    metrics.set("orioletrail_cold_cuts", ramp.coldCuts());
+    metrics.set("orioletrail_config_revision", static_cast<double>(view.config->revision));
+    metrics.set("orioletrail_closed", static_cast<double>(closed));
+    metrics.set("orioletrail_entries", static_cast<double>(peers.size()));
+}
+
+Task<> Sidecar::State::probeLoop()
+{
+    while (true) {
+        co_await probe();
+        co_await detail::sleep(traffic.get_executor(), settings.probeInterval);
+    }
+}
+
+Task<> Sidecar::State::probe()
+{
+    HttpCall call;
+    call.request.method = "GET";
+    call.request.target = "/load";
+    call.timeout = settings.probeTimeout;
+    const HttpResult result = co_await endpoint->call(std::move(call));
+    std::optional<LoadReport> report;
+    if (result.ok() && result.status == 200)
+        report = detail::parseLoad(result.body);
+    if (report) {
+        probeFailures = 0;
+        ramp.onReport(*report);
+    } else if (result.failure == HttpFailure::Connect || ++probeFailures >= detail::probeFailuresAllowed) {
+        ramp.onLost();
+    }
+    updateCredits();
+}
+
+void Sidecar::State::shutDown()
+{
+    log(LogLevel::Info, "sidecar shutting down", { { "running", std::to_string(running.size()) } });
+    stopping = true;
+    updateCredits();
+    for (auto& [number, peer] : peers)
+        sendPing(peer);
+    asio::co_spawn(traffic, drain(), asio::detached);
+}
+
+Task<> Sidecar::State::drain()
+{
+    const TimePoint limit = Clock::now() + settings.drainTimeout;
+    // Entries learn of the shutdown by the heartbeat; attempts already on their way are refused.
+    co_await detail::sleep(traffic.get_executor(), heartbeatInterval);
+    while (Clock::now() < limit && (!running.empty() || attempts.unfinished() || !claims->isIdle()))
+        co_await detail::sleep(traffic.get_executor(), detail::tickInterval);
+    traffic.stop();
+}
+
+Task<> Sidecar::State::serveAdmin(const HttpRequest& request, Responder& responder)
+{
+    HttpAnswer answer;
+    if (request.path() == "/metrics") {
+        answer.headers = { { "Content-Type", "text/plain; version=0.0.4" } };
+        answer.body = metrics.print();
+    } else if (request.path() == "/readyz") {
+        answer.status = ready && !stopping ? 200 : 503;
+    } else if (request.path() != "/healthz") {
+        answer.status = 404;
+    }
+    co_await responder.respond(answer);
+}
+
+} // namespace orioletrail
--- /dev/null
+++ b/telemetry/metrics.cc
@@ -0,0 +1,130 @@
+#include "telemetry/metrics.h"
+
+#include <boost/histogram.hpp>
+#include <sstream>
+
+namespace orioletrail {
+
+namespace bh = boost::histogram;
+
+namespace detail {
+
+    constexpr unsigned latencyBins = 70;
+    constexpr double leastLatency = 10e-6;
+    constexpr double mostLatency = 100;
+
+    using LatencyAxis = bh::axis::regular<double, bh::axis::transform::log>;
+    using LatencyHistogram = decltype(bh::make_histogram(LatencyAxis(latencyBins, leastLatency, mostLatency)));
+
+    struct Latency {
+        LatencyHistogram bins = bh::make_histogram(LatencyAxis(latencyBins, leastLatency, mostLatency));
+        double sum = 0;
+        uint64_t count = 0;
+    };
+
+    void printLatency(std::ostream& out, const std::string& name, const Latency& latency)
+    {
+        out << "# TYPE " << name << " histogram\n";
+        double below = 0;
+        for (auto&& bin : bh::indexed(latency.bins, bh::coverage::all)) {
+            if (bin.index() >= static_cast<int>(latencyBins))
+                continue;
+            below += *bin;
+            if (*bin > 0)
+                out << name << "_bucket{le=\"" << bin.bin().upper() << "\"} " << below << '\n';
+        }
+        out << name << "_bucket{le=\"+Inf\"} " << latency.count << '\n';
+        out << name << "_sum " << latency.sum << '\n'
+            << name << "_count " << latency.count << '\n';
+    }
+
+} // namespace detail
+
+struct Metrics::Histograms {
+    std::map<std::string, detail::Latency, std::less<>> byName;
+};
+
+Metrics::Metrics()
+    : m_histograms(std::make_unique<Histograms>())
+{
+}
+
+Metrics::~Metrics() = default;
+
+void Metrics::count(std::string_view name, std::string_view labels, uint64_t by)
+{
+    const std::lock_guard lock(m_mutex);
+    auto family = m_counters.find(name);
+    if (family == m_counters.end())
+        family = m_counters.try_emplace(std::string(name)).first;
+    const auto value = family->second.find(labels);
+    if (value == family->second.end())
+        family->second.emplace(std::string(labels), by);
+    else
+        value->second += by;
+}
+
+void Metrics::countRefusal(Reason reason, Outcome outcome)
+{
+    std::string labels = "reason=\"";
+    labels += reasonName(reason);
+    labels += "\",run=\"";
+    labels += outcomeName(outcome);
+    labels += '"';
+    count("orioletrail_refusals_total", labels);
+}
+
+void Metrics::countRetry(Reason reason)
+{
+    std::string labels = "reason=\"";
+    labels += reasonName(reason);
+    labels += '"';
+    count("orioletrail_retries_total", labels);
+}
+
+void Metrics::set(std::string_view name, double value)
+{
+    const std::lock_guard lock(m_mutex);
+    m_gauges.insert_or_assign(std::string(name), value);
+}
+
+void Metrics::observe(std::string_view name, std::chrono::nanoseconds elapsed)
+{
+    const double seconds = std::chrono::duration<double>(elapsed).count();
+    const std::lock_guard lock(m_mutex);
+    auto found = m_histograms->byName.find(name);
+    if (found == m_histograms->byName.end())
+        found = m_histograms->byName.try_emplace(std::string(name)).first;
+    found->second.bins(seconds);
+    found->second.sum += seconds;
+    ++found->second.count;
+}
+
+std::string Metrics::print() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::ostringstream out;
+    for (const auto& [name, values] : m_counters) {
+        out << "# TYPE " << name << " counter\n";
+        for (const auto& [labels, value] : values)
+            out << name << (labels.empty() ? "" : "{" + labels + "}") << ' ' << value << '\n';
+    }
+    for (const auto& [name, value] : m_gauges)
+        out << "# TYPE " << name << " gauge\n"
+            << name << ' ' << value << '\n';
+    for (const auto& [name, latency] : m_histograms->byName)
+        detail::printLatency(out, name, latency);
+    return out.str();
+}
+
+uint64_t Metrics::counter(std::string_view name, std::string_view labels) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto family = m_counters.find(name);
+    if (family == m_counters.end())
+        return 0;
+    const auto value = family->second.find(labels);
+    return value == family->second.end() ? 0 : value->second;
+}
+
+} // namespace orioletrail
