Test every slice's decision logic

Cause: only the ledger had tests of its own.

Change: one test program for each library, on fake clocks and fixed seeds.

--- /dev/null
+++ b/admission/credits-test.cc
@@ -0,0 +1,118 @@
+#include "admission/credits.h"
+
+#include <doctest/doctest.h>
+#include <random>
+
+using namespace orioletrail;
+
+TEST_CASE("credits are shared equally among idle connections")
+{
+    CreditPool pool;
+    pool.setLimit(9);
+    for (uint64_t connection = 1; connection <= 3; ++connection)
+        pool.connect(connection);
+    const std::vector<CreditChange> changes = pool.rebalance();
+    REQUIRE(changes.size() == 3);
+    for (const CreditChange& change : changes)
+        CHECK(change.credits == 3);
+    CHECK(pool.held() == 9);
+}
+
+TEST_CASE("an attempt without a credit is refused")
+{
+    CreditPool pool;
+    pool.setLimit(1);
+    pool.connect(1);
+    CHECK(pool.tryOpen(1) == Reason::NoCredit);
+    pool.rebalance();
+    CHECK(pool.tryOpen(1) == Reason::None);
+    CHECK(pool.tryOpen(1) == Reason::NoCredit);
+    CHECK(pool.tryOpen(2) == Reason::NoCredit);
+}
+
+TEST_CASE("a credit granted before the limit fell does not exceed it")
+{
+    CreditPool pool;
+    pool.setLimit(4);
+    pool.connect(1);
+    pool.rebalance();
+    CHECK(pool.tryOpen(1) == Reason::None);
+    pool.setLimit(1);
+    CHECK(pool.tryOpen(1) == Reason::OverLimit);
+    CHECK(pool.inFlight() == 1);
+}
+
+TEST_CASE("idle credits are recalled for a connection that wants some")
+{
+    CreditPool pool;
+    pool.setLimit(2);
+    pool.connect(1);
+    pool.rebalance();
+    CHECK(pool.held() == 2);
+    pool.connect(2);
+    pool.want(2, 1);
+    const std::vector<CreditChange> recalls = pool.rebalance();
+    REQUIRE(recalls.size() == 1);
+    CHECK(recalls[0].connection == 1);
+    CHECK(recalls[0].credits == -1);
+    pool.giveBack(1, 1);
+    const std::vector<CreditChange> grants = pool.rebalance();
+    REQUIRE(grants.size() == 1);
+    CHECK(grants[0].connection == 2);
+}
+
+TEST_CASE("a lost connection frees its credits, not its attempts")
+{
+    CreditPool pool;
+    pool.setLimit(4);
+    pool.connect(1);
+    pool.rebalance();
+    REQUIRE(pool.tryOpen(1) == Reason::None);
+    pool.disconnect(1);
+    CHECK(pool.held() == 0);
+    CHECK(pool.inFlight() == 1);
+    pool.connect(2);
+    pool.rebalance();
+    CHECK(pool.held() == 3);
+}
+
+TEST_CASE("held and running attempts never exceed the limit while it does not fall")
+{
+    for (uint64_t seed = 1; seed <= 300; ++seed) {
+        CAPTURE(seed);
+        std::mt19937_64 random(seed);
+        auto draw = [&](uint64_t below) { return std::uniform_int_distribution<uint64_t>(0, below - 1)(random); };
+        CreditPool pool;
+        uint32_t limit = 1;
+        pool.setLimit(limit);
+        for (int i = 0; i < 400; ++i) {
+            const uint64_t connection = 1 + draw(5);
+            switch (draw(7)) {
+            case 0:
+                pool.connect(connection);
+                break;
+            case 1:
+                pool.disconnect(connection);
+                break;
+            case 2:
+                pool.want(connection, static_cast<uint32_t>(draw(4)));
+                break;
+            case 3:
+                pool.giveBack(connection, static_cast<uint32_t>(draw(3)));
+                break;
+            case 4:
+                pool.tryOpen(connection);
+                break;
+            case 5:
+                if (pool.inFlight())
+                    pool.finish();
+                break;
+            default:
+                limit += static_cast<uint32_t>(draw(2));
+                pool.setLimit(limit);
+            }
+            pool.rebalance();
+            REQUIRE(pool.inFlight() + pool.held() <= limit);
+        }
+    }
+}
--- /dev/null
+++ b/membership/freshness-test.cc
@@ -0,0 +1,61 @@
+#include "membership/freshness.h"
+
+#include <doctest/doctest.h>
+
+using namespace orioletrail;
+
+namespace {
+
+constexpr Millis step { 1000 };
+
+} // namespace
+
+TEST_CASE("a confirmed configuration may be acted on for a while")
+{
+    Freshness freshness("a");
+    TimePoint now(step * 100);
+    CHECK_FALSE(freshness.mayAct(now, 3));
+    freshness.confirm(now);
+    CHECK(freshness.mayAct(now + step * 2, 3));
+    CHECK_FALSE(freshness.mayAct(now + step * 3, 3));
+}
+
+TEST_CASE("an instance that was frozen may not act when it wakes up")
+{
+    Freshness freshness("a");
+    const TimePoint now(step * 100);
+    freshness.confirm(now);
+    freshness.hear("b", now);
+    freshness.hear("c", now);
+    CHECK_FALSE(freshness.mayAct(now + step * 60, 3));
+}
+
+TEST_CASE("with the platform down, hearing most zones is enough")
+{
+    Freshness freshness("a");
+    const TimePoint now(step * 100);
+    freshness.confirm(now);
+    const TimePoint later = now + step * 60;
+    freshness.hear("b", later);
+    CHECK(freshness.mayAct(later, 3));
+    CHECK_FALSE(freshness.mayAct(later, 4));
+}
+
+TEST_CASE("a zone that is cut off with its platform connection must refuse")
+{
+    Freshness freshness("a");
+    const TimePoint now(step * 100);
+    freshness.confirm(now);
+    const TimePoint later = now + step * 10;
+    freshness.hear("a", later);
+    CHECK_FALSE(freshness.mayAct(later, 3));
+}
+
+TEST_CASE("an older confirmation does not make the configuration older")
+{
+    Freshness freshness("a");
+    const TimePoint now(step * 100);
+    freshness.confirm(now);
+    freshness.confirm(now - step * 50);
+    CHECK(freshness.age(now) == Millis(0));
+}
