--- a/admission/ramp-test.cc
+++ b/admission/ramp-test.cc
@@ -10,7 +10,7 @@
 
 Ramp makeWarm()
 {
-    Ramp ramp({ 2, 16, 2, 4.0, 3 });
+    Ramp ramp({ 2, 16, 64, 4.0, 3 });
     ramp.onReport({ 7, 0, 0.8 });
     for (int i = 0; i < 200; ++i) {
         ramp.onCompleted(usual, false);
@@ -31,7 +31,7 @@
 
 TEST_CASE("the limit rises on completed work, never on reports alone")
 {
-    Ramp ramp({ 2, 16, 2, 4.0, 3 });
+    Ramp ramp({ 2, 16, 56, 4.0, 3 });
     for (int i = 0; i < 1000; ++i)
         ramp.onReport({ 1, 0, 0.5 });
     CHECK(ramp.limit() == 2);
--- a/admission/ramp.cc
+++ b/admission/ramp.cc
@@ -39,7 +39,6 @@
         grow();
         return;
     }
-    m_healthy = 0;
     if (++m_slow >= m_settings.slowInRow)
         turnCold();
 }
@@ -69,10 +68,11 @@
 
 void Ramp::grow()
 {
-    if (!isProbed() || ++m_healthy < m_limit * m_settings.completionsPerStep)
+    if (!isProbed())
         return;
-    m_healthy = 0;
-    m_limit = std::min(m_settings.warmLimit, m_limit + std::max(1U, m_limit / 2));
+    m_healthy = std::min(m_healthy + 1, m_settings.warmAfter);
+    const uint32_t range = m_settings.warmLimit - m_settings.coldLimit;
+    m_limit = m_settings.coldLimit + range * m_healthy / m_settings.warmAfter;
 }
 
 } // namespace orioletrail
--- a/admission/ramp.h
+++ b/admission/ramp.h
@@ -10,8 +10,9 @@
     uint32_t coldLimit = 2;
     // The limit of a warm endpoint.
     uint32_t warmLimit = 32;
-    // Completions at the present limit before it rises, as a multiple of the limit.
-    uint32_t completionsPerStep = 2;
+    // Healthy completions that warm an endpoint up. What it bears is taken to grow in
+    // proportion to them.
+    uint32_t warmAfter = 64;
     // A first byte this many times later than the usual one counts as unhealthy.
     double slowFactor = 4.0;
     // Unhealthy completions in a row that mark the endpoint cold.
@@ -27,8 +28,8 @@
     double cacheHitRate = 0;
 };
 
-// The limit starts at 0, is coldLimit after the first report, and grows by half on
-// completed healthy work only, never on time. Any sign of a cold endpoint cuts it back.
+// The limit starts at 0, is coldLimit after the first report, and grows from there to warmLimit
+// with completed healthy work, never with time. Any sign of a cold endpoint cuts it back.
 class Ramp {
 public:
     explicit Ramp(const RampSettings& settings)
--- a/base/types.cc
+++ b/base/types.cc
@@ -11,10 +11,9 @@
         "none", "bad-request", "unauthorized", "unknown-route", "method-not-allowed",
         "body-too-large", "header-too-large", "key-required", "key-reused", "key-in-progress",
         "key-expired", "account-limit", "fair-share", "no-capacity", "no-credit", "over-limit",
-        "zone-out", "leaving", "not-probed", "unreachable", "fenced", "not-owner", "ledger-full",
-        "platform-down", "no-configuration", "deadline", "endpoint-died", "connection-lost",
-        "truncated", "poisoned", "retry-budget", "caller-gone", "duplicate", "shutting-down",
-        "endpoint-error"
+        "zone-out", "leaving", "not-probed", "unreachable", "ledger-full",
+        "platform-down", "no-configuration", "deadline", "endpoint-died", "endpoint-cut", "connection-lost",
+        "truncated", "poisoned", "retry-budget", "caller-gone", "shutting-down"
     };
 
 } // namespace detail
--- a/base/types.h
+++ b/base/types.h
@@ -51,21 +51,18 @@
     Leaving,
     NotProbed,
     Unreachable,
-    Fenced,
-    NotOwner,
     LedgerFull,
     PlatformDown,
     NoConfiguration,
     Deadline,
     EndpointDied,
+    EndpointCut,
     ConnectionLost,
     Truncated,
     Poisoned,
     RetryBudget,
     CallerGone,
-    Duplicate,
     ShuttingDown,
-    EndpointError,
     Count
 };
 
--- a/cmd/main.cc
+++ b/cmd/main.cc
@@ -84,6 +84,7 @@
         app.add_option("--platform", settings.platform, "IP:PORT of the object API")->capture_default_str()->group("Addresses");
         app.add_option("--cold-limit", settings.ramp.coldLimit, "requests at once that a cold endpoint bears")->check(CLI::Range(1, 100'000))->capture_default_str()->group("Limits");
         app.add_option("--warm-limit", settings.ramp.warmLimit, "requests at once that a warm endpoint bears")->check(CLI::Range(1, 100'000))->capture_default_str()->group("Limits");
+        app.add_option("--warm-after", settings.ramp.warmAfter, "completed requests that warm the endpoint up")->check(CLI::Range(1, 1'000'000))->capture_default_str()->group("Limits");
         addMillis(app, "--probe-interval", settings.probeInterval, 10, 60'000, "time between probes of the endpoint");
         addMillis(app, "--probe-timeout", settings.probeTimeout, 10, 60'000, "timeout of a probe");
         addMillis(app, "--platform-timeout", settings.platformTimeout, 10, 60'000, "timeout of a call to the platform");
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -24,7 +24,7 @@
     // How long a request may wait for an endpoint with a credit.
     Millis queueTimeout { 250 };
     size_t queueLimit = 256;
-    uint32_t maxAttempts = 4;
+    uint32_t maxAttempts = 6;
     Millis platformTimeout { 1000 };
     // Between "not ready" and the end of accepting, so that the balancer notices.
     Millis drainGrace { 500 };
--- a/entry/link.cc
+++ b/entry/link.cc
@@ -15,9 +15,9 @@
     constexpr Millis reconnectPause { 200 };
     constexpr Millis connectTimeout { 1000 };
     // How long a sidecar that cannot be reached is waited for to tell what became of an attempt.
-    // An idempotent request had better be tried elsewhere soon.
+    // An idempotent request of whose answer nothing has come had better be tried elsewhere soon.
     constexpr Millis resolveTimeout { 5000 };
-    constexpr Millis idempotentResolveTimeout { 500 };
+    constexpr Millis retriableResolveTimeout { 500 };
 
 } // namespace detail
 
@@ -256,7 +256,8 @@
 {
     std::erase_if(m_streams, [&](const auto& item) {
         AttemptStream& stream = *item.second;
-        const bool given = lostFor > (stream.isIdempotent() ? detail::idempotentResolveTimeout : detail::resolveTimeout);
+        const bool retriable = stream.isIdempotent() && !stream.expected();
+        const bool given = lostFor > (retriable ? detail::retriableResolveTimeout : detail::resolveTimeout);
         if (given)
             stream.fail(Outcome::MayHaveRun, Reason::ConnectionLost);
         return given;
--- a/entry/request.cc
+++ b/entry/request.cc
@@ -25,6 +25,7 @@
     constexpr size_t maxRequestIdBytes = 128;
     // How long a keyed request waits for the owner of its ledger shard before another may take over.
     constexpr Millis ownerWait { 100 };
+    constexpr Millis freshPause { 10 };
     constexpr std::string_view eventStream = "text/event-stream";
 
     unsigned statusOf(Reason reason, Outcome outcome)
@@ -93,8 +94,20 @@
     metrics.observe("orioletrail_request_seconds", Clock::now() - job.received);
 }
 
+// A process that was frozen learns what is in force within moments of its resumption.
+Task<> Entry::State::waitUntilFresh()
+{
+    const TimePoint until = Clock::now() + settings.queueTimeout;
+    while (view.config->revision && !view.mayAct(Clock::now()) && Clock::now() < until) {
+        asio::steady_timer timer(traffic, detail::freshPause);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
 Task<> Entry::State::serve(const HttpRequest& request, Responder& responder, Job& job)
 {
+    co_await waitUntilFresh();
     std::optional<Refusal> refusal = authenticate(request, job);
     if (!refusal)
         refusal = parse(request, job);
@@ -249,6 +262,8 @@
         co_await responder.chunk("event: error\ndata: {\"error\":{\"message\":\"the answer is incomplete\",\"reason\":\"" + std::string(reasonName(result.reason)) + "\"}}\n\n");
         responder.abort();
     } else {
+        if (job.mayHaveRun)
+            result.outcome = Outcome::MayHaveRun;
         co_await refuse(responder, job, detail::refusalOf(result));
     }
 }
@@ -296,10 +311,23 @@
     return index ? chosen[*index] : nullptr;
 }
 
+bool Entry::State::wasTriedEverywhere(const Job& job) const
+{
+    if (job.tried.empty())
+        return false;
+    return std::all_of(links.begin(), links.end(), [&](const auto& item) {
+        const auto endpoint = view.config->endpoints.find(item.first);
+        return endpoint == view.config->endpoints.end() || endpoint->second.service != job.service
+            || std::find(job.tried.begin(), job.tried.end(), item.first) != job.tried.end();
+    });
+}
+
 Task<std::shared_ptr<Link>> Entry::State::waitForLink(Job& job)
 {
     std::shared_ptr<Link> link = view.mayAct(Clock::now()) ? chooseLink(job) : nullptr;
     const TimePoint until = std::min(job.deadline, Clock::now() + settings.queueTimeout);
+    if (!link && wasTriedEverywhere(job))
+        job.tried = { job.tried.back() };
     if (link || waitingTotal >= settings.queueLimit)
         co_return link;
     ++waiting[job.service];
@@ -332,6 +360,8 @@
     open.body = request.body;
     open.deadlineMs = static_cast<uint32_t>(std::max<Millis::rep>(1, std::chrono::duration_cast<Millis>(job.deadline - Clock::now()).count()));
     open.idempotent = job.idempotent;
+    open.digest = job.digest;
+    open.alone = job.alone;
     open.key = job.idempotent ? std::string() : job.key;
     job.attempt = open.id;
     job.tried.push_back(link->endpoint());
@@ -418,11 +448,14 @@
 
 bool Entry::State::mayRetry(const Job& job, const AttemptResult& result)
 {
+    if (poison.verdict(job.digest, Clock::now()) == PoisonVerdict::Refuse)
+        return false;
     if (job.begun || job.callerGone || job.attempts >= settings.maxAttempts || Clock::now() >= job.deadline)
         return false;
     if (result.outcome == Outcome::MayHaveRun && !job.idempotent)
         return false;
     switch (result.reason) {
+    case Reason::Poisoned:
     case Reason::KeyReused:
     case Reason::KeyExpired:
     case Reason::KeyInProgress:
@@ -430,28 +463,26 @@
     case Reason::PlatformDown:
     case Reason::LedgerFull:
         return false;
-    // Refused without any work: another endpoint may have room.
-    case Reason::NoCredit:
-    case Reason::OverLimit:
-    case Reason::ZoneOut:
-    case Reason::Leaving:
-    case Reason::ShuttingDown:
-    case Reason::NotProbed:
-        return true;
     default:
-        return budget.tryRetry(job.account);
+        // A retry of what did not run adds no work to the endpoints.
+        return result.outcome == Outcome::NotRun || budget.tryRetry(job.account);
     }
 }
 
 void Entry::State::onAttemptEnded(Job& job, const AttemptResult& result)
 {
+    job.mayHaveRun = job.mayHaveRun || result.outcome == Outcome::MayHaveRun;
     if (result.outcome == Outcome::Answered) {
         budget.onSuccess(job.account);
         if (poison.size())
             poison.onCompleted(job.digest);
     } else if (result.outcome == Outcome::MayHaveRun && result.reason == Reason::EndpointDied) {
-        poison.onDeath(job.digest, Clock::now());
+        const PoisonReport report { job.digest, poison.onDeath(job.digest, Clock::now()) };
+        for (const auto& [name, link] : links)
+            link->send(report);
         job.alone = true;
+    } else if (result.reason == Reason::Poisoned) {
+        poison.merge(job.digest, PoisonSettings {}.refuseAfter, Clock::now());
     }
     if (isLogged(LogLevel::Debug))
         log(LogLevel::Debug, "attempt ended", { { "request", job.requestId }, { "attempt", format(job.attempt) }, { "run", std::string(outcomeName(result.outcome)) }, { "reason", std::string(reasonName(result.reason)) } });
--- a/entry/state.h
+++ b/entry/state.h
@@ -28,6 +28,8 @@
     bool idempotent = false;
     bool alone = false;
     bool callerGone = false;
+    // Some attempt may have run, whatever became of later ones.
+    bool mayHaveRun = false;
     TimePoint received = Clock::now();
     TimePoint deadline;
     uint32_t attempts = 0;
@@ -62,6 +64,7 @@
 
     // Requests.
     Task<> handle(const HttpRequest&, Responder&);
+    Task<> waitUntilFresh();
     Task<> serve(const HttpRequest&, Responder&, Job&);
     std::optional<Refusal> parse(const HttpRequest&, Job&);
     std::optional<Refusal> parseModelCall(const HttpRequest&, Job&);
@@ -70,6 +73,7 @@
     std::optional<Refusal> admit(Job&);
     Task<> attemptUntilAnswered(const HttpRequest&, Responder&, Job&);
     Task<std::shared_ptr<Link>> waitForLink(Job&);
+    bool wasTriedEverywhere(const Job&) const;
     std::shared_ptr<Link> chooseLink(const Job&);
     std::shared_ptr<Link> ledgerOwner(const Job&);
     Task<AttemptResult> attempt(const HttpRequest&, Responder&, Job&);
--- a/fakes/engine.h
+++ b/fakes/engine.h
@@ -8,7 +8,8 @@
 
 struct EngineFakeSettings {
     FakeSettings common;
-    // Requests at once that it bears when cold and when warm; one more and it falls over.
+    // Requests at once that it bears when cold and when warm; one more and it falls over. In
+    // between it grows in proportion to what it has completed.
     uint32_t coldCapacity = 4;
     uint32_t warmCapacity = 32;
     // Completed requests that warm it up.
--- a/fakes/main.cc
+++ b/fakes/main.cc
@@ -3,6 +3,7 @@
 #include "fakes/engine.h"
 #include "fakes/judge.h"
 #include "fakes/platform.h"
+#include "fakes/relay.h"
 #include "fakes/service.h"
 
 #include <CLI/CLI.hpp>
@@ -60,7 +61,7 @@
     caller->add_option("--entry", callerSettings.entries)->required();
     caller->add_option("--token", callerSettings.token);
     caller->add_option("--told", callerSettings.told);
-    caller->add_option("--callers", callerSettings.callers);
+    caller->add_option("--callers", callerSettings.callers)->take_last();
     caller->add_option("--seed", callerSettings.seed);
     caller->add_option("--orders", callerSettings.orders);
     caller->add_option("--lookups", callerSettings.lookups);
@@ -71,6 +72,10 @@
     judge->add_option("--told", judgeSettings.told);
     judge->add_option("--record", judgeSettings.records);
     judge->add_option("--closed", windows, "PREFIX:FROM:TO in milliseconds since 1970");
+    RelaySettings relaySettings;
+    CLI::App* relay = app.add_subcommand("relay");
+    relay->add_option("--listen", relaySettings.listen)->required();
+    relay->add_option("--target", relaySettings.target)->required();
     CLI11_PARSE(app, argc, argv);
     for (const std::string& window : windows)
         judgeSettings.closed.push_back(parseWindow(window));
@@ -78,6 +83,8 @@
         return runPlatform(platformSettings);
     if (*engine)
         return runEngine(engineSettings);
+    if (*relay)
+        return runRelay(relaySettings);
     if (*service)
         return runService(serviceSettings);
     return *caller ? runCallers(callerSettings) : runJudge(judgeSettings);
--- a/gateway/server.cc
+++ b/gateway/server.cc
@@ -37,6 +37,9 @@
 namespace detail {
 
     constexpr Millis sendTimeout { 30'000 };
+    constexpr Millis discardTimeout { 2000 };
+    constexpr size_t discardPieceBytes = 64 * 1024;
+    constexpr size_t mostDiscarded = 16 * 1024 * 1024;
 
     // Writes answers on one connection and watches for its end while a handler runs.
     class SocketResponder final : public Responder, public std::enable_shared_from_this<SocketResponder> {
@@ -179,12 +182,22 @@
 
     using ServerState = std::shared_ptr<HttpServer::State>;
 
+    // Reads what the caller is still sending, since closing on it would destroy the answer.
+    Task<> discardInput(boost::beast::tcp_stream& stream)
+    {
+        error_code error;
+        stream.socket().shutdown(tcp::socket::shutdown_send, error);
+        std::vector<char> piece(discardPieceBytes);
+        stream.expires_after(discardTimeout);
+        for (size_t total = 0; !error && total < mostDiscarded;)
+            total += co_await stream.async_read_some(asio::buffer(piece), asio::redirect_error(asio::use_awaitable, error));
+    }
+
     Task<> refuse(const ServerState& state, boost::beast::tcp_stream& stream, unsigned status, Reason reason)
     {
         auto responder = std::make_shared<SocketResponder>(stream, false);
         co_await responder->respond(state->m_refusal(status, reason));
-        error_code ignored;
-        stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        co_await discardInput(stream);
     }
 
     // Serves one request. False if the connection is to be closed.
--- a/ledger/shard-test.cc
+++ b/ledger/shard-test.cc
@@ -58,7 +58,7 @@
 
     void settle()
     {
-        for (int i = 0; i < 20; ++i) {
+        for (int i = 0; i < 30; ++i) {
             if (m_read)
                 answerRead();
             else if (m_write)
@@ -174,6 +174,25 @@
     CHECK(former.m_results[2].reason == Reason::KeyInProgress);
 }
 
+TEST_CASE("a repeat at a new owner waits for the answer that the former is about to record")
+{
+    FakeObject object;
+    Owner former(1, object);
+    former.claim(1, "k");
+    former.settle();
+    Owner next(2, object);
+    next.claim(1, "other");
+    next.settle();
+    next.claim(2, "k");
+    CHECK(next.m_results.count(2) == 0);
+    former.take(former.m_shard.finish(1, "k", { 201, "", "done", false }, former.m_now));
+    former.settle();
+    next.settle();
+    REQUIRE(next.m_results.count(2) == 1);
+    REQUIRE(next.m_results[2].answer);
+    CHECK(next.m_results[2].answer->body == "done");
+}
+
 TEST_CASE("a lost answer is resolved by reading back")
 {
     FakeObject object;
--- a/ledger/shard.cc
+++ b/ledger/shard.cc
@@ -1,13 +1,15 @@
 #include "ledger/shard.h"
 
+#include <algorithm>
+
 namespace orioletrail {
 
 LedgerActions LedgerShard::claim(uint64_t ticket, std::string_view key, std::string_view bodyDigest, TimePoint now, int64_t unixSeconds)
 {
     m_unixSeconds = unixSeconds;
-    Waiting waiting { std::string(key), std::string(bodyDigest), unixSeconds };
+    Waiting waiting { std::string(key), std::string(bodyDigest), unixSeconds, now + m_settings.foreignWait };
     LedgerActions decided;
-    if (m_owned && decideKnown(waiting, ticket, decided))
+    if (m_owned && decideKnown(waiting, ticket, now, decided))
         return decided;
     m_waiting.emplace(ticket, std::move(waiting));
     return advance(now);
@@ -110,8 +112,12 @@
 {
     if (m_phase != Phase::Idle || (m_waiting.empty() && m_endings.empty()))
         return {};
-    if (!m_loaded)
+    const bool foreign = std::any_of(m_waiting.begin(), m_waiting.end(),
+        [&](const auto& item) { return awaitsForeign(item.second, now); });
+    if (!m_loaded || (foreign && now >= m_nextRead)) {
+        m_nextRead = now + m_settings.foreignPause;
         return startRead();
+    }
     return now < m_nextWrite ? LedgerActions {} : startWrite(now);
 }
 
@@ -133,8 +139,7 @@
     }
     prune();
     addEndings();
-    addClaims(actions);
-    if (m_waiting.empty() && m_endings.empty())
+    if (!addClaims(now, actions) && m_endings.empty())
         return actions;
     m_phase = Phase::Writing;
     m_nextWrite = now + m_settings.writeInterval;
@@ -156,18 +161,23 @@
     }
 }
 
-void LedgerShard::addClaims(LedgerActions& actions)
+size_t LedgerShard::addClaims(TimePoint now, LedgerActions& actions)
 {
+    size_t added = 0;
     for (auto waiting = m_waiting.begin(); waiting != m_waiting.end();) {
         const auto& [ticket, claim] = *waiting;
-        const bool known = decideKnown(claim, ticket, actions);
-        const bool full = !known && m_pending.entries.size() >= m_settings.maxEntries;
+        const bool foreign = awaitsForeign(claim, now);
+        const bool known = !foreign && decideKnown(claim, ticket, now, actions);
+        const bool full = !foreign && !known && m_pending.entries.size() >= m_settings.maxEntries;
         if (full)
             actions.results.push_back({ ticket, Reason::LedgerFull, Outcome::NotRun, std::nullopt });
-        else if (!known)
+        else if (!known && !foreign) {
             m_pending.entries.try_emplace(claim.key, LedgerEntry { claim.bodyDigest, claimantOf(ticket), claim.claimedAt, std::nullopt });
+            ++added;
+        }
         waiting = known || full ? m_waiting.erase(waiting) : std::next(waiting);
     }
+    return added;
 }
 
 void LedgerShard::settleEndings()
@@ -201,10 +211,22 @@
     m_waiting.clear();
 }
 
-bool LedgerShard::decideKnown(const Waiting& waiting, uint64_t ticket, LedgerActions& actions) const
+bool LedgerShard::isOwn(std::string_view claimant) const
+{
+    return claimant.starts_with(std::to_string(m_owner) + "-");
+}
+
+bool LedgerShard::awaitsForeign(const Waiting& waiting, TimePoint now) const
+{
+    const auto found = m_record.entries.find(waiting.key);
+    return now < waiting.foreignUntil && found != m_record.entries.end() && !found->second.answer
+        && found->second.bodyDigest == waiting.bodyDigest && !isOwn(found->second.claimant);
+}
+
+bool LedgerShard::decideKnown(const Waiting& waiting, uint64_t ticket, TimePoint now, LedgerActions& actions) const
 {
     const auto found = m_record.entries.find(waiting.key);
-    if (found == m_record.entries.end() || found->second.claimant == claimantOf(ticket))
+    if (awaitsForeign(waiting, now) || found == m_record.entries.end() || found->second.claimant == claimantOf(ticket))
         return false;
     ClaimResult result { ticket, Reason::KeyInProgress, Outcome::MayHaveRun, found->second.answer };
     // The answer may be known here before it is written.
--- a/ledger/shard.h
+++ b/ledger/shard.h
@@ -16,6 +16,10 @@
     size_t maxRecordedBody = 2048;
     // Least time between two writes of a shard, which bounds the load on the platform.
     Millis writeInterval { 40 };
+    // How long a repeat waits for the answer of a claim that another owner made, and how often
+    // it looks again. The other owner may be about to record it.
+    Millis foreignWait { 500 };
+    Millis foreignPause { 50 };
     // Wait after a failed call to the platform.
     Millis retryDelay { 200 };
 };
@@ -100,6 +104,8 @@
         std::string key;
         std::string bodyDigest;
         int64_t claimedAt = 0;
+        // Until when to wait for the answer of another owner's claim.
+        TimePoint foreignUntil;
     };
 
     // The end of a claim that is not yet written: an answer, or nothing to remove the claim.
@@ -112,13 +118,15 @@
     LedgerActions settleAndAdvance(TimePoint);
     std::string claimantOf(uint64_t ticket) const;
     void addEndings();
-    void addClaims(LedgerActions&);
+    size_t addClaims(TimePoint, LedgerActions&);
     void settleEndings();
     LedgerActions startRead();
     LedgerActions startWrite(TimePoint);
     void settleClaims(LedgerActions&);
     void failWaiting(LedgerActions&, Reason);
-    bool decideKnown(const Waiting&, uint64_t ticket, LedgerActions&) const;
+    bool decideKnown(const Waiting&, uint64_t ticket, TimePoint, LedgerActions&) const;
+    bool awaitsForeign(const Waiting&, TimePoint) const;
+    bool isOwn(std::string_view claimant) const;
     void prune();
 
     uint64_t m_owner;
@@ -128,6 +136,7 @@
     bool m_loaded = false;
     TimePoint m_resumeAt;
     TimePoint m_nextWrite;
+    TimePoint m_nextRead;
     uint64_t m_revision = 0;
     // The record as last seen in the platform, and as it will be after the present write.
     LedgerRecord m_record;
--- a/routing/router.cc
+++ b/routing/router.cc
@@ -8,18 +8,18 @@
 
 namespace detail {
 
-    bool isUsable(const Candidate& candidate, const RouteRequest& request)
+    bool isUsable(const Candidate& candidate)
     {
-        return !candidate.closed && !candidate.tried && candidate.credits && (!request.alone || !candidate.inFlight);
+        return !candidate.closed && !candidate.tried && candidate.credits;
     }
 
     // The load that bounds affinity: mean over usable endpoints, and at least one attempt.
-    double boundOf(std::span<const Candidate> candidates, const RouteRequest& request, double factor)
+    double boundOf(std::span<const Candidate> candidates, double factor)
     {
         uint32_t load = 0;
         uint32_t usable = 0;
         for (const Candidate& candidate : candidates) {
-            if (!isUsable(candidate, request))
+            if (!isUsable(candidate))
                 continue;
             load += candidate.inFlight;
             ++usable;
@@ -31,10 +31,10 @@
 
 std::optional<size_t> chooseEndpoint(std::span<const Candidate> candidates, const RouteRequest& request, const RouteSettings& settings)
 {
-    const double bound = detail::boundOf(candidates, request, settings.loadBound);
+    const double bound = detail::boundOf(candidates, settings.loadBound);
     std::optional<size_t> best;
     auto better = [&](const Candidate& a, const Candidate& b) {
-        if (request.affinity) {
+        if (request.affinity && !request.alone) {
             const bool aFits = a.inFlight < bound;
             const bool bFits = b.inFlight < bound;
             if (aFits != bFits)
@@ -49,7 +49,7 @@
         return a.credits > b.credits;
     };
     for (size_t i = 0; i < candidates.size(); ++i)
-        if (detail::isUsable(candidates[i], request) && (!best || better(candidates[i], candidates[*best])))
+        if (detail::isUsable(candidates[i]) && (!best || better(candidates[i], candidates[*best])))
             best = i;
     return best;
 }
--- a/routing/router.h
+++ b/routing/router.h
@@ -25,7 +25,7 @@
     // Requests with the same affinity prefer the same endpoint; 0 for none.
     uint64_t affinity = 0;
     std::string_view zone;
-    // Choose an endpoint on which this entry runs nothing else.
+    // Choose the least loaded endpoint, whatever the affinity; its sidecar will run nothing beside.
     bool alone = false;
 };
 
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 scripts/build.sh
 scripts/lint.sh
-ctest --test-dir build --output-on-failure
+ctest --test-dir build --output-on-failure -j 3
--- a/sidecar/peer-messages.cc
+++ b/sidecar/peer-messages.cc
@@ -67,6 +67,8 @@
         pool.want(number, want->credits), updateCredits();
     else if (auto* returned = std::get_if<Return>(&message))
         pool.giveBack(number, returned->credits), updateCredits();
+    else if (auto* report = std::get_if<PoisonReport>(&message))
+        poison.merge(report->digest, report->deaths, Clock::now());
     else if (auto* delta = std::get_if<ConfigDelta>(&message))
         agent->control().offer(std::move(*delta), peer.zone, std::nullopt, Millis(0));
 }
@@ -147,6 +149,10 @@
         fail(attempt, Outcome::NotRun, Reason::CallerGone);
         return;
     }
+    if (lonerWaits && attempt == loner) {
+        fail(attempt, Outcome::NotRun, Reason::CallerGone);
+        return;
+    }
     // A request that must not run twice goes on, so that its answer can be recorded.
     if (attempt->open.idempotent)
         attempt->token->cancel();
--- a/sidecar/sidecar.cc
+++ b/sidecar/sidecar.cc
@@ -181,7 +181,8 @@
 
 void Sidecar::State::updateCredits()
 {
-    pool.setLimit(closedReason(Clock::now()) == Reason::None ? ramp.limit() : 0);
+    const uint32_t limit = closedReason(Clock::now()) == Reason::None ? ramp.limit() : 0;
+    pool.setLimit(loner ? std::min(limit, 1U) : limit);
     for (const CreditChange& change : pool.rebalance()) {
         const auto peer = peers.find(change.connection);
         if (peer == peers.end())
@@ -215,10 +216,11 @@
     attempts.expire(now);
     std::vector<RunningPtr> late;
     for (const auto& [id, attempt] : running)
-        if (attempt->claiming && now >= attempt->deadline)
+        if ((attempt->claiming || (lonerWaits && attempt == loner)) && now >= attempt->deadline)
             late.push_back(attempt);
     for (const RunningPtr& attempt : late) {
-        claims->abandon(attempt->ticket, attempt->claimKey);
+        if (attempt->claiming)
+            claims->abandon(attempt->ticket, attempt->claimKey);
         fail(attempt, Outcome::NotRun, Reason::Deadline);
     }
     std::vector<std::shared_ptr<Connection>> silent;
@@ -254,20 +256,35 @@
     }
 }
 
-Task<> Sidecar::State::probe()
+Task<std::optional<LoadReport>> Sidecar::State::askLoad(HttpFailure& failure)
 {
     HttpCall call;
     call.request.method = "GET";
     call.request.target = "/load";
     call.timeout = settings.probeTimeout;
     const HttpResult result = co_await endpoint->call(std::move(call));
-    std::optional<LoadReport> report;
+    failure = result.failure;
     if (result.ok() && result.status == 200)
-        report = detail::parseLoad(result.body);
+        co_return detail::parseLoad(result.body);
+    co_return std::nullopt;
+}
+
+Task<bool> Sidecar::State::hasEndpointDied()
+{
+    HttpFailure failure = HttpFailure::None;
+    const std::optional<LoadReport> report = co_await askLoad(failure);
+    co_return failure == HttpFailure::Connect || (report && report->start != endpointStart);
+}
+
+Task<> Sidecar::State::probe()
+{
+    HttpFailure failure = HttpFailure::None;
+    const std::optional<LoadReport> report = co_await askLoad(failure);
     if (report) {
+        endpointStart = report->start;
         probeFailures = 0;
         ramp.onReport(*report);
-    } else if (result.failure == HttpFailure::Connect || ++probeFailures >= detail::probeFailuresAllowed) {
+    } else if (failure == HttpFailure::Connect || ++probeFailures >= detail::probeFailuresAllowed) {
         ramp.onLost();
     }
     updateCredits();
--- a/sidecar/state.h
+++ b/sidecar/state.h
@@ -3,6 +3,7 @@
 
 #include "admission/credits.h"
 #include "gateway/http.h"
+#include "retry/poison.h"
 #include "sidecar/claims.h"
 #include "sidecar/sidecar.h"
 #include "transport/connection.h"
@@ -43,6 +44,8 @@
         // Holds a place of the credit pool.
         bool counted = false;
         bool claiming = false;
+        // Under suspicion: runs only when nothing else does.
+        bool alone = false;
         // The ledger key, empty if the request is not claimed.
         std::string claimKey;
         std::shared_ptr<HttpCallToken> token = std::make_shared<HttpCallToken>();
@@ -76,18 +79,21 @@
 
     // Admission.
     Reason closedReason(TimePoint) const;
+    Reason poisonReason(Running&, TimePoint) const;
     void onOpen(Peer&, Open&&);
     void updateCredits();
     void onView(const ControlView&);
 
     // Running attempts.
+    void startOrHold(const RunningPtr&);
+    void startLoner();
     void admit(const RunningPtr&);
     void onClaimed(const RunningPtr&, ClaimResult);
     void replay(const RunningPtr&, const RecordedAnswer&);
     Task<> execute(RunningPtr);
     Task<> onHead(RunningPtr, unsigned status, HeaderList);
     Task<> onChunk(RunningPtr, std::string);
-    void onExecuted(const RunningPtr&, const HttpResult&);
+    void onExecuted(const RunningPtr&, const HttpResult&, bool died);
     void fail(const RunningPtr&, Outcome, Reason);
     void end(const RunningPtr&);
     void settleClaim(const RunningPtr&, const HttpResult&);
@@ -97,7 +103,9 @@
     Task<> ledgerLoop();
     void tick();
     Task<> probeLoop();
+    Task<std::optional<LoadReport>> askLoad(HttpFailure&);
     Task<> probe();
+    Task<bool> hasEndpointDied();
     void updateGauges();
     void shutDown();
     Task<> drain();
@@ -124,6 +132,12 @@
     uint64_t nextPeer = 0;
     uint64_t nextTicket = 0;
     uint32_t probeFailures = 0;
+    PoisonRecords poison;
+    // The attempt under suspicion that waits or runs; nothing else is admitted until it ends.
+    RunningPtr loner;
+    bool lonerWaits = false;
+    // Start number of the endpoint by its last report.
+    uint64_t endpointStart = 0;
     bool wasZoneOut = false;
     std::atomic<bool> stopping { false };
     std::atomic<bool> ready { false };
--- /dev/null
+++ b/tests/cluster.cc
@@ -0,0 +1,313 @@
+#include "tests/cluster.h"
+
+#include "base/digest.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+#include <csignal>
+#include <filesystem>
+#include <iostream>
+#include <spawn.h>
+#include <sstream>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+extern char** environ; // NOLINT(readability-redundant-declaration)
+
+namespace orioletrail::tests {
+
+namespace {
+
+    const std::string token = "test-token";
+    constexpr Millis poll { 20 };
+    constexpr Millis startTimeout { 10'000 };
+
+    std::string binary(const std::string& name)
+    {
+        return std::string(ORIOLETRAIL_BINARIES) + "/" + name;
+    }
+
+    std::string local(int port)
+    {
+        return "127.0.0.1:" + std::to_string(port);
+    }
+
+    // Each cluster of a test program has ports of its own, below the ephemeral range.
+    int nextBase()
+    {
+        constexpr int defaultPort = 21'000;
+        constexpr int portsEach = 150;
+        static int count = 0;
+        const char* port = std::getenv("ORIOLETRAIL_TEST_PORT");
+        return (port ? std::atoi(port) : defaultPort) + count++ * portsEach;
+    }
+
+    bool isModel(const std::string& endpoint)
+    {
+        return endpoint.find("-m") != std::string::npos;
+    }
+
+} // namespace
+
+Process::Process(std::vector<std::string> arguments)
+{
+    std::vector<char*> argv;
+    for (std::string& argument : arguments)
+        argv.push_back(argument.data());
+    argv.push_back(nullptr);
+    if (posix_spawn(&m_pid, argv[0], nullptr, nullptr, argv.data(), environ) != 0)
+        m_exit = -1;
+}
+
+Process::~Process()
+{
+    if (m_exit)
+        return;
+    signal(SIGKILL);
+    signal(SIGCONT);
+    waitpid(m_pid, nullptr, 0);
+}
+
+void Process::signal(int number) const
+{
+    if (!m_exit)
+        kill(m_pid, number);
+}
+
+std::optional<int> Process::wait(Millis timeout)
+{
+    const TimePoint until = Clock::now() + timeout;
+    while (!m_exit && Clock::now() < until) {
+        int status = 0;
+        if (waitpid(m_pid, &status, WNOHANG) == m_pid)
+            m_exit = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+        else
+            std::this_thread::sleep_for(poll);
+    }
+    return m_exit;
+}
+
+Cluster::Cluster(ClusterShape shape)
+    : m_shape(std::move(shape))
+    , m_base(nextBase())
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "orioletrail-XXXXXX").string();
+    m_dir = mkdtemp(pattern.data());
+    start("platform", { binary("orioletrail-fakes"), "platform", "--name", "platform", "--listen", local(m_base), "--record", recordOf("platform") });
+    for (int zone = 1; zone <= m_shape.zones; ++zone) {
+        if (m_shape.relays)
+            start("relay-platform-" + std::to_string(zone), { binary("orioletrail-fakes"), "relay", "--listen", local(m_base + zone), "--target", local(m_base) });
+        startEntry(zone);
+    }
+    for (const std::string& name : endpoints()) {
+        startEndpoint(name);
+        startSidecar(name);
+        if (m_shape.relays)
+            start("relay-" + name, { binary("orioletrail-fakes"), "relay", "--listen", local(portOf(name) + 3), "--target", local(portOf(name) + 1) });
+    }
+    applyObjects();
+}
+
+Cluster::~Cluster()
+{
+    m_processes.clear();
+    std::error_code ignored;
+    std::filesystem::remove_all(m_dir, ignored);
+}
+
+std::vector<std::string> Cluster::endpoints() const
+{
+    std::vector<std::string> names;
+    for (int zone = 1; zone <= m_shape.zones; ++zone) {
+        for (int i = 1; i <= m_shape.engines; ++i)
+            names.push_back("z" + std::to_string(zone) + "-m" + std::to_string(i));
+        for (int i = 1; i <= m_shape.services; ++i)
+            names.push_back("z" + std::to_string(zone) + "-s" + std::to_string(i));
+    }
+    return names;
+}
+
+int Cluster::portOf(const std::string& endpoint) const
+{
+    const std::vector<std::string> names = endpoints();
+    const auto index = std::find(names.begin(), names.end(), endpoint) - names.begin();
+    return m_base + 40 + static_cast<int>(index) * 5;
+}
+
+std::string Cluster::entryAddress(int zone) const
+{
+    return local(m_base + 10 + zone * 3);
+}
+
+std::string Cluster::adminAddress(int zone) const
+{
+    return local(m_base + 11 + zone * 3);
+}
+
+void Cluster::start(const std::string& name, std::vector<std::string> arguments)
+{
+    m_processes.erase(name);
+    m_processes[name] = std::make_unique<Process>(std::move(arguments));
+}
+
+void Cluster::startEntry(int zone, std::vector<std::string> flags)
+{
+    std::vector<std::string> arguments { binary("orioletrail"), "entry", "--name", "e" + std::to_string(zone), "--zone", "z" + std::to_string(zone),
+        "--listen", entryAddress(zone), "--admin", adminAddress(zone), "--gossip", local(m_base + 12 + zone * 3),
+        "--platform", local(m_shape.relays ? m_base + zone : m_base), "--log-level", "error", "--drain-grace", "100" };
+    for (int peer = 1; peer <= m_shape.zones; ++peer)
+        if (peer != zone)
+            arguments.insert(arguments.end(), { "--peer", local(m_base + 12 + peer * 3) });
+    arguments.insert(arguments.end(), flags.begin(), flags.end());
+    start("entry-" + std::to_string(zone), std::move(arguments));
+}
+
+void Cluster::startSidecar(const std::string& endpoint)
+{
+    const int port = portOf(endpoint);
+    std::vector<std::string> arguments { binary("orioletrail"), "sidecar", "--name", endpoint, "--service", isModel(endpoint) ? "labels" : "print",
+        "--zone", endpoint.substr(0, endpoint.find('-')), "--listen", local(port + 1), "--admin", local(port + 2), "--endpoint", local(port),
+        "--platform", local(m_base), "--log-level", "error", "--cold-limit", "4", "--warm-limit", "16" };
+    arguments.insert(arguments.end(), m_shape.sidecarFlags.begin(), m_shape.sidecarFlags.end());
+    start("sidecar-" + endpoint, std::move(arguments));
+}
+
+void Cluster::startEndpoint(const std::string& endpoint)
+{
+    std::vector<std::string> arguments { binary("orioletrail-fakes"), isModel(endpoint) ? "engine" : "service", "--name", endpoint,
+        "--listen", local(portOf(endpoint)), "--record", recordOf(endpoint) };
+    if (isModel(endpoint))
+        arguments.insert(arguments.end(), m_shape.engineFlags.begin(), m_shape.engineFlags.end());
+    start("endpoint-" + endpoint, std::move(arguments));
+}
+
+void Cluster::applyObjects()
+{
+    boost::json::object objects;
+    objects["config/account/test"] = { { "tokenDigest", sha256Hex(token) }, { "maxInFlight", 600 } };
+    objects["config/service/labels"] = { { "kind", "model" } };
+    objects["config/service/print"] = { { "kind", "plain" } };
+    objects["config/rule/lookup"] = { { "service", "print" }, { "method", "GET" }, { "idempotent", true } };
+    for (int zone = 1; zone <= m_shape.zones; ++zone) {
+        const std::string name = std::to_string(zone);
+        objects["config/zone/z" + name] = { { "out", false } };
+        objects["config/instance/e" + name] = { { "zone", "z" + name }, { "gossip", local(m_base + 12 + zone * 3) } };
+    }
+    for (const std::string& name : endpoints())
+        objects["config/endpoint/" + name] = { { "service", isModel(name) ? "labels" : "print" }, { "zone", name.substr(0, name.find('-')) },
+            { "sidecar", local(portOf(name) + (m_shape.relays ? 3 : 1)) } };
+    const std::string path = m_dir + "/objects.json";
+    std::ofstream(path) << boost::json::serialize(boost::json::object { { "objects", objects } });
+    const TimePoint until = Clock::now() + startTimeout;
+    while (ctl("apply " + path).status != 0 && Clock::now() < until)
+        std::this_thread::sleep_for(poll);
+}
+
+bool Cluster::waitReady()
+{
+    const TimePoint until = Clock::now() + startTimeout;
+    for (int zone = 1; zone <= m_shape.zones; ++zone)
+        while (call(adminAddress(zone), "GET", "/readyz").status != 200) {
+            if (Clock::now() > until)
+                return false;
+            std::this_thread::sleep_for(poll);
+        }
+    // Every sidecar is probed and known to every entry soon after.
+    std::this_thread::sleep_for(Millis(500));
+    return true;
+}
+
+HttpResult Cluster::call(const std::string& address, std::string method, std::string target, std::string body, HeaderList headers)
+{
+    const auto parsed = parseAddress(address);
+    boost::asio::io_context context;
+    HttpClient client(context.get_executor(), parsed->first, parsed->second);
+    HttpCall call;
+    call.request = { std::move(method), std::move(target), std::move(headers), std::move(body) };
+    call.request.headers.emplace_back("X-Request-Id", "t" + std::to_string(++m_requests));
+    if (call.request.header("Authorization").empty())
+        call.request.headers.emplace_back("Authorization", "Bearer " + token);
+    call.timeout = Millis(20'000);
+    HttpResult result;
+    auto run = [&]() -> Task<> { result = co_await client.call(call); };
+    boost::asio::co_spawn(context, run(), boost::asio::detached);
+    context.run();
+    return result;
+}
+
+CommandOutput Cluster::ctl(const std::string& line, int zone)
+{
+    const std::string output = m_dir + "/ctl";
+    Process process({ "/bin/sh", "-c", "exec " + binary("orioletrail") + " ctl --entry " + adminAddress(zone) + " " + line + " >" + output + " 2>&1" });
+    const std::optional<int> status = process.wait(startTimeout);
+    std::ifstream file(output);
+    std::stringstream text;
+    text << file.rdbuf();
+    return { status.value_or(-1), text.str() };
+}
+
+void Cluster::fault(const std::string& name, const std::string& mode, int delayMs, int count)
+{
+    const boost::json::object body { { "mode", mode }, { "delayMs", delayMs }, { "count", count } };
+    call(name == "platform" ? local(m_base) : local(portOf(name)), "POST", "/fault", boost::json::serialize(body));
+}
+
+std::unique_ptr<Process> Cluster::startCallers(Millis duration, std::vector<std::string> flags, std::vector<int> zones)
+{
+    std::vector<std::string> arguments { binary("orioletrail-fakes"), "caller", "--token", token, "--told", m_dir + "/told", "--duration-ms",
+        std::to_string(duration.count()), "--callers", "12", "--seed", "1" };
+    for (int zone = 1; zone <= m_shape.zones; ++zone)
+        if (zones.empty() || std::find(zones.begin(), zones.end(), zone) != zones.end())
+            arguments.insert(arguments.end(), { "--entry", entryAddress(zone) });
+    arguments.insert(arguments.end(), flags.begin(), flags.end());
+    return std::make_unique<Process>(std::move(arguments));
+}
+
+fakes::Verdict Cluster::judge()
+{
+    fakes::JudgeSettings settings;
+    settings.told = { m_dir + "/told" };
+    settings.closed = m_closed;
+    for (const std::string& name : endpoints())
+        settings.records.push_back(recordOf(name));
+    fakes::Verdict verdict = fakes::judge(settings);
+    if (!verdict.isClean() || refusedCount(verdict))
+        fakes::runJudge(settings);
+    return verdict;
+}
+
+size_t Cluster::runsOf(const std::string& prefix) const
+{
+    size_t runs = 0;
+    for (const std::string& name : endpoints()) {
+        if (!name.starts_with(prefix))
+            continue;
+        std::ifstream file(recordOf(name));
+        std::string line;
+        while (std::getline(file, line))
+            runs += line.find("\"run\"") != std::string::npos || line.find("\"order\"") != std::string::npos || line.find("\"lookup\"") != std::string::npos ? 1 : 0;
+    }
+    return runs;
+}
+
+uint64_t toldCount(const fakes::Verdict& verdict, const std::string& what, const std::string& result)
+{
+    const auto kind = verdict.counts.find(what);
+    if (kind == verdict.counts.end())
+        return 0;
+    const auto count = kind->second.find(result);
+    return count == kind->second.end() ? 0 : count->second;
+}
+
+uint64_t refusedCount(const fakes::Verdict& verdict)
+{
+    uint64_t refused = 0;
+    for (const auto& [what, results] : verdict.counts)
+        for (const auto& [result, count] : results)
+            refused += result == "answered" ? 0 : count;
+    return refused;
+}
+
+} // namespace orioletrail::tests
--- /dev/null
+++ b/tests/endpoint-failure-test.cc
@@ -0,0 +1,85 @@
+// What endpoints can bear, and requests that take endpoints down.
+#include "tests/cluster.h"
+
+#include <csignal>
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace orioletrail;
+using namespace orioletrail::tests;
+
+namespace {
+
+const std::vector<std::string> onlyCompletions { "--orders", "0", "--lookups", "0", "--callers", "60" };
+
+} // namespace
+
+TEST_CASE("many entries never give an endpoint more than it bears, cold or warm")
+{
+    Cluster cluster;
+    REQUIRE(cluster.waitReady());
+    const auto callers = cluster.startCallers(Millis(5000), onlyCompletions);
+    REQUIRE(callers->wait(Millis(30'000)) == 0);
+    const fakes::Verdict verdict = cluster.judge();
+    CHECK(verdict.overloads == 0);
+    CHECK(verdict.isClean());
+    CHECK(toldCount(verdict, "completion", "answered") > 200);
+}
+
+TEST_CASE("a warm endpoint that turns cold is cut back within a second")
+{
+    Cluster cluster;
+    REQUIRE(cluster.waitReady());
+    const auto callers = cluster.startCallers(Millis(9000), onlyCompletions);
+    std::this_thread::sleep_for(Millis(4000));
+    cluster.fault("z1-m1", "cold", 0, 1);
+    std::this_thread::sleep_for(Millis(1500));
+    cluster.fault("z2-m2", "cold", 0, 1);
+    REQUIRE(callers->wait(Millis(30'000)) == 0);
+    CHECK(cluster.judge().isClean());
+}
+
+TEST_CASE("an endpoint that was killed comes back through the ramp")
+{
+    Cluster cluster;
+    REQUIRE(cluster.waitReady());
+    const auto callers = cluster.startCallers(Millis(7000), onlyCompletions);
+    std::this_thread::sleep_for(Millis(2000));
+    cluster.endpoint("z1-m1").signal(SIGKILL);
+    std::this_thread::sleep_for(Millis(500));
+    cluster.startEndpoint("z1-m1");
+    REQUIRE(callers->wait(Millis(30'000)) == 0);
+    CHECK(cluster.judge().isClean());
+}
+
+TEST_CASE("a stream that is cut is retried or ends as broken, never as complete")
+{
+    Cluster cluster;
+    REQUIRE(cluster.waitReady());
+    const auto callers = cluster.startCallers(Millis(3000), { "--orders", "0", "--lookups", "0" });
+    std::this_thread::sleep_for(Millis(500));
+    cluster.fault("z1-m1", "cut", 0, 20);
+    cluster.fault("z2-m1", "cut", 0, 20);
+    REQUIRE(callers->wait(Millis(30'000)) == 0);
+    CHECK(cluster.judge().wrongAnswers == 0);
+}
+
+TEST_CASE("a request that crashes endpoints and is sent again takes down at most three")
+{
+    Cluster cluster({ 3, 2, 1, false, { "--crash-word", "CRASH" }, {} });
+    REQUIRE(cluster.waitReady());
+    const std::string body = R"({"model":"labels","messages":[{"role":"user","content":"CRASH"}]})";
+    for (int i = 0; i < 12; ++i) {
+        const HttpResult result = cluster.call(cluster.entryAddress(1 + i % 3), "POST", "/v1/chat/completions", body);
+        CHECK(result.status >= 400);
+        std::this_thread::sleep_for(Millis(100));
+    }
+    int lost = 0;
+    for (const std::string& name : cluster.endpoints())
+        if (cluster.endpoint(name).wait(Millis(1)))
+            ++lost;
+    CHECK(lost >= 1);
+    CHECK(lost <= 3);
+    const std::string innocent = R"({"model":"labels","messages":[{"role":"user","content":"hello"}]})";
+    CHECK(cluster.call(cluster.entryAddress(1), "POST", "/v1/chat/completions", innocent).status == 200);
+}
--- /dev/null
+++ b/tests/zone-failure-test.cc
@@ -0,0 +1,189 @@
+// Zones and endpoints that leave, configuration in force, and planned stops, under failures.
+#include "tests/cluster.h"
+
+#include <csignal>
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace orioletrail;
+using namespace orioletrail::tests;
+
+namespace {
+
+// No new work after this time since the command.
+constexpr int64_t closedAfterMs = 3000;
+
+} // namespace
+
+TEST_CASE("a zone is taken out and returned under load without a refusal")
+{
+    Cluster cluster;
+    REQUIRE(cluster.waitReady());
+    const auto callers = cluster.startCallers(Millis(9000));
+    std::this_thread::sleep_for(Millis(1500));
+    REQUIRE(cluster.ctl("take zone z2 out").status == 0);
+    const int64_t out = fakes::unixMillis();
+    std::this_thread::sleep_for(Millis(4500));
+    cluster.expectClosed("z2-", out + closedAfterMs, fakes::unixMillis());
+    REQUIRE(cluster.ctl("return zone z2").status == 0);
+    REQUIRE(callers->wait(Millis(30'000)) == 0);
+    const fakes::Verdict verdict = cluster.judge();
+    CHECK(verdict.isClean());
+    CHECK(refusedCount(verdict) == 0);
+}
+
+TEST_CASE("an entry frozen through the command sends nothing to the zone when it resumes")
+{
+    Cluster cluster;
+    REQUIRE(cluster.waitReady());
+    const auto callers = cluster.startCallers(Millis(7000));
+    std::this_thread::sleep_for(Millis(1000));
+    cluster.entry(3).signal(SIGSTOP);
+    REQUIRE(cluster.ctl("take zone z2 out").status == 0);
+    const int64_t out = fakes::unixMillis();
+    std::this_thread::sleep_for(Millis(3500));
+    cluster.entry(3).signal(SIGCONT);
+    REQUIRE(callers->wait(Millis(30'000)) == 0);
+    cluster.expectClosed("z2-", out + closedAfterMs, fakes::unixMillis());
+    CHECK(cluster.judge().isClean());
+}
+
+TEST_CASE("an entry cut off from the platform obeys the command")
+{
+    Cluster cluster({ 3, 2, 1, true, {}, {} });
+    REQUIRE(cluster.waitReady());
+    const auto callers = cluster.startCallers(Millis(6000));
+    std::this_thread::sleep_for(Millis(500));
+    cluster.platformRelay(3).signal(SIGUSR2);
+    std::this_thread::sleep_for(Millis(500));
+    REQUIRE(cluster.ctl("take zone z2 out").status == 0);
+    const int64_t out = fakes::unixMillis();
+    REQUIRE(callers->wait(Millis(30'000)) == 0);
+    cluster.expectClosed("z2-", out + closedAfterMs, fakes::unixMillis());
+    CHECK(cluster.judge().isClean());
+}
+
+TEST_CASE("a sidecar frozen through the command admits nothing when it resumes")
+{
+    Cluster cluster;
+    REQUIRE(cluster.waitReady());
+    const auto callers = cluster.startCallers(Millis(7000));
+    std::this_thread::sleep_for(Millis(1000));
+    cluster.sidecar("z2-m1").signal(SIGSTOP);
+    REQUIRE(cluster.ctl("take zone z2 out").status == 0);
+    const int64_t out = fakes::unixMillis();
+    std::this_thread::sleep_for(Millis(3500));
+    cluster.sidecar("z2-m1").signal(SIGCONT);
+    REQUIRE(callers->wait(Millis(30'000)) == 0);
+    cluster.expectClosed("z2-", out + closedAfterMs, fakes::unixMillis());
+    CHECK(cluster.judge().isClean());
+}
+
+TEST_CASE("a command is in force although its answer was lost")
+{
+    Cluster cluster;
+    REQUIRE(cluster.waitReady());
+    cluster.fault("platform", "drop", 0, 1);
+    const CommandOutput output = cluster.ctl("take zone z2 out");
+    CHECK(output.status == 0);
+    CHECK(cluster.ctl("show zones", 3).text.find("z2    out") != std::string::npos);
+}
+
+TEST_CASE("of two operators who race one wins and the other is told so")
+{
+    Cluster cluster({ 3, 1, 1, false, {}, {} });
+    REQUIRE(cluster.waitReady());
+    for (int round = 0; round < 10; ++round) {
+        std::array<HttpResult, 2> results;
+        std::thread first([&] { results[0] = cluster.call(cluster.adminAddress(1), "POST", "/v1/command", "take zone z2 out"); });
+        std::thread second([&] { results[1] = cluster.call(cluster.adminAddress(2), "POST", "/v1/command", "return zone z2"); });
+        first.join();
+        second.join();
+        int done = 0;
+        for (const HttpResult& result : results) {
+            const bool won = result.body.find("\"status\":0") != std::string::npos;
+            const bool conflict = result.body.find("changed at the same time by command") != std::string::npos;
+            CHECK(won != conflict);
+            done += won ? 1 : 0;
+        }
+        CHECK(done >= 1);
+    }
+}
+
+TEST_CASE("an entry restarted in a platform outage learns from its peers")
+{
+    Cluster cluster;
+    REQUIRE(cluster.waitReady());
+    REQUIRE(cluster.ctl("take zone z2 out").status == 0);
+    cluster.fault("platform", "down");
+    cluster.entry(3).signal(SIGKILL);
+    cluster.startEntry(3);
+    CHECK(cluster.waitReady());
+    CHECK(cluster.call(cluster.entryAddress(3), "GET", "/services/print/orders/1").status == 200);
+    CHECK(cluster.ctl("show zones", 3).text.find("z2    out") != std::string::npos);
+}
+
+TEST_CASE("an entry that reaches nobody refuses rather than serve from nothing")
+{
+    Cluster cluster({ 1, 1, 1, false, {}, {} });
+    REQUIRE(cluster.waitReady());
+    cluster.fault("platform", "down");
+    cluster.startEntry(1);
+    std::this_thread::sleep_for(Millis(1500));
+    const HttpResult refused = cluster.call(cluster.entryAddress(1), "GET", "/services/print/orders/1");
+    CHECK(refused.status == 503);
+    CHECK(refused.body.find("\"reason\":\"no-configuration\"") != std::string::npos);
+    CHECK(refused.body.find("\"run\":\"not-run\"") != std::string::npos);
+}
+
+TEST_CASE("a draining endpoint gets no new work and returns")
+{
+    Cluster cluster;
+    REQUIRE(cluster.waitReady());
+    const auto callers = cluster.startCallers(Millis(8000));
+    REQUIRE(cluster.ctl("drain endpoint z1-m1").status == 0);
+    const int64_t out = fakes::unixMillis();
+    std::this_thread::sleep_for(Millis(4000));
+    const int64_t back = fakes::unixMillis();
+    cluster.expectClosed("z1-m1", out + closedAfterMs, back);
+    const size_t before = cluster.runsOf("z1-m1");
+    REQUIRE(cluster.ctl("return endpoint z1-m1").status == 0);
+    REQUIRE(callers->wait(Millis(30'000)) == 0);
+    const fakes::Verdict verdict = cluster.judge();
+    CHECK(verdict.isClean());
+    CHECK(refusedCount(verdict) == 0);
+    CHECK(cluster.runsOf("z1-m1") > before);
+}
+
+TEST_CASE("a planned stop of sidecars cuts no request")
+{
+    Cluster cluster;
+    REQUIRE(cluster.waitReady());
+    const auto callers = cluster.startCallers(Millis(6000));
+    for (const char* name : { "z1-m1", "z2-s1" }) {
+        std::this_thread::sleep_for(Millis(1000));
+        cluster.sidecar(name).signal(SIGTERM);
+        CHECK(cluster.sidecar(name).wait(Millis(10'000)) == 0);
+        cluster.startSidecar(name);
+    }
+    REQUIRE(callers->wait(Millis(30'000)) == 0);
+    const fakes::Verdict verdict = cluster.judge();
+    CHECK(verdict.isClean());
+    CHECK(refusedCount(verdict) == 0);
+}
+
+TEST_CASE("a planned stop of an entry cuts no request in progress")
+{
+    Cluster cluster({ 3, 2, 1, false, { "--per-token-ms", "50" }, {} });
+    REQUIRE(cluster.waitReady());
+    // Completions only, of more than half a second each; none begins after the signal.
+    const auto callers = cluster.startCallers(Millis(300), { "--orders", "0", "--lookups", "0" }, { 1 });
+    std::this_thread::sleep_for(Millis(350));
+    cluster.entry(1).signal(SIGTERM);
+    CHECK(cluster.entry(1).wait(Millis(10'000)) == 0);
+    REQUIRE(callers->wait(Millis(30'000)) == 0);
+    const fakes::Verdict verdict = cluster.judge();
+    CHECK(verdict.isClean());
+    CHECK(refusedCount(verdict) == 0);
+    CHECK(toldCount(verdict, "completion", "answered") >= 12);
+}
--- a/transport/codec.cc
+++ b/transport/codec.cc
@@ -32,7 +32,7 @@
 template <class Inspector>
 typename Inspector::result_type inspect(Inspector& f, Open& x)
 {
-    return f(x.id, x.account, x.service, x.method, x.target, x.headers, x.body, x.deadlineMs, x.idempotent, x.key);
+    return f(x.id, x.account, x.service, x.method, x.target, x.headers, x.body, x.deadlineMs, x.idempotent, x.key, x.digest, x.alone);
 }
 
 template <class Inspector>
--- a/transport/message.h
+++ b/transport/message.h
@@ -38,6 +38,10 @@
     bool idempotent = false;
     // Empty if the request has no idempotency key.
     std::string key;
+    // Identifies the content among requests during which endpoints died.
+    std::string digest;
+    // Run it only while the endpoint runs nothing else.
+    bool alone = false;
 };
 
 // Gives up on an attempt. A non-idempotent attempt that was handed on keeps running.
