--- /dev/null
+++ b/bench/bench.h
@@ -0,0 +1,21 @@
+// Measurements. Each prints JSON lines.
+#pragma once
+
+namespace orioletrail::bench {
+
+// Step-time skew and moves of policies for expert maps.
+int runExpertMap();
+
+// Latency and rate of the whole path against direct calls, with real processes.
+int runPath();
+
+// One hop between two threads, by nng and by a framed connection.
+int runHop();
+
+// Platform calls and latency of ways to claim idempotency keys.
+int runLedger();
+
+// Cost of control by role at several sizes.
+int runCapacity();
+
+} // namespace orioletrail::bench
--- /dev/null
+++ b/bench/main.cc
@@ -0,0 +1,26 @@
+// Command line of the measurements.
+#include "bench/bench.h"
+
+#include <CLI/CLI.hpp>
+
+int main(int argc, char** argv)
+{
+    CLI::App app { "measurements of orioletrail" };
+    app.require_subcommand(1);
+    CLI::App* expertMap = app.add_subcommand("expertmap", "policies for expert maps");
+    CLI::App* path = app.add_subcommand("path", "the whole path against direct calls");
+    CLI::App* hop = app.add_subcommand("hop", "nng against framed connections");
+    CLI::App* ledger = app.add_subcommand("ledger", "ways to claim idempotency keys");
+    CLI::App* capacity = app.add_subcommand("capacity", "cost of control by role and size");
+    CLI11_PARSE(app, argc, argv);
+    using namespace orioletrail::bench;
+    if (*expertMap)
+        return runExpertMap();
+    if (*path)
+        return runPath();
+    if (*hop)
+        return runHop();
+    if (*ledger)
+        return runLedger();
+    return *capacity ? runCapacity() : 1;
+}
--- /dev/null
+++ b/expertmap/planner.cc
@@ -0,0 +1,101 @@
+#include "expertmap/planner.h"
+
+#include <algorithm>
+
+namespace orioletrail {
+
+std::string_view planReasonName(PlanReason reason)
+{
+    switch (reason) {
+    case PlanReason::Balanced:
+        return "balanced";
+    case PlanReason::SharesOnly:
+        return "shares-only";
+    case PlanReason::Moved:
+        return "moved";
+    case PlanReason::NoGain:
+        return "no-gain";
+    case PlanReason::RateLimited:
+        return "rate-limited";
+    case PlanReason::Frozen:
+        break;
+    }
+    return "frozen";
+}
+
+std::optional<Plan> Planner::plan(std::span<const std::vector<double>> counts, std::string& reason)
+{
+    Plan plan;
+    forecast(counts);
+    if (m_layers.empty()) {
+        if (!start(counts, plan, reason))
+            return std::nullopt;
+        return plan;
+    }
+    if (m_frozen) {
+        plan.reason = PlanReason::Frozen;
+        plan.layers = m_layers;
+        return plan;
+    }
+    for (size_t layer = 0; layer < m_layers.size(); ++layer)
+        improveLayer(layer, plan);
+    plan.layers = m_layers;
+    return plan;
+}
+
+bool Planner::start(std::span<const std::vector<double>> counts, Plan& plan, std::string& reason)
+{
+    for (const std::vector<double>& loads : counts) {
+        std::optional<Placement> placement = placeGreedily(loads, m_topology, reason);
+        if (!placement) {
+            m_layers.clear();
+            return false;
+        }
+        m_layers.push_back(std::move(*placement));
+    }
+    plan.layers = m_layers;
+    plan.reason = PlanReason::Moved;
+    return true;
+}
+
+void Planner::forecast(std::span<const std::vector<double>> counts)
+{
+    if (m_forecast.size() != counts.size()) {
+        m_forecast.assign(counts.begin(), counts.end());
+        return;
+    }
+    for (size_t layer = 0; layer < counts.size(); ++layer)
+        for (size_t expert = 0; expert < counts[layer].size(); ++expert)
+            m_forecast[layer][expert] += m_settings.smoothing * (counts[layer][expert] - m_forecast[layer][expert]);
+}
+
+void Planner::improveLayer(size_t layer, Plan& plan)
+{
+    Placement& placement = m_layers[layer];
+    const std::vector<double>& loads = m_forecast[layer];
+    const double bound = largestLoadBound(loads, m_topology);
+    if (largestRankLoad(placement, loads, m_topology) <= bound * m_settings.tolerated)
+        return;
+    splitShares(placement, loads, m_topology);
+    plan.reason = std::max(plan.reason, PlanReason::SharesOnly);
+    double largest = largestRankLoad(placement, loads, m_topology);
+    while (largest > bound * m_settings.tolerated) {
+        if (plan.moves >= m_settings.movesPerInterval) {
+            plan.reason = PlanReason::RateLimited;
+            return;
+        }
+        Placement after;
+        const std::optional<CopyMove> move = findMove(placement, loads, m_topology, after);
+        const double lowered = move ? largestRankLoad(after, loads, m_topology) : largest;
+        if (largest - lowered < largest * m_settings.leastGain) {
+            plan.reason = std::max(plan.reason, PlanReason::NoGain);
+            return;
+        }
+        placement = std::move(after);
+        largest = lowered;
+        ++plan.moves;
+        plan.reason = std::max(plan.reason, PlanReason::Moved);
+    }
+}
+
+} // namespace orioletrail
--- /dev/null
+++ b/expertmap/planner.h
@@ -0,0 +1,72 @@
+// Decides when to change the expert map of a group, and how far.
+#pragma once
+
+#include "expertmap/placement.h"
+
+namespace orioletrail {
+
+struct PlannerSettings {
+    // Weight of the latest token counts in the forecast.
+    double smoothing = 0.3;
+    // Largest rank load, over its bound, up to which nothing is moved.
+    double tolerated = 1.02;
+    // A move must save this share of the largest rank load to be made.
+    double leastGain = 0.002;
+    // Weights that the weight store can load in one interval, over all layers.
+    uint32_t movesPerInterval = 64;
+};
+
+// Why the last plan changed the map or held back.
+enum class PlanReason : uint8_t {
+    // The largest rank load is within the tolerance.
+    Balanced,
+    // Only shares were changed, which loads nothing.
+    SharesOnly,
+    // Copies were moved.
+    Moved,
+    // Moves would save too little.
+    NoGain,
+    // The weight store's rate was used up.
+    RateLimited,
+    // An operator froze the map.
+    Frozen
+};
+
+std::string_view planReasonName(PlanReason);
+
+struct Plan {
+    // One placement for each layer.
+    std::vector<Placement> layers;
+    uint32_t moves = 0;
+    PlanReason reason = PlanReason::Balanced;
+};
+
+// Keeps a forecast of token counts for each layer and the placements in force.
+class Planner {
+public:
+    Planner(const RankTopology& topology, const PlannerSettings& settings)
+        : m_topology(topology)
+        , m_settings(settings)
+    {
+    }
+
+    // Takes in the token counts of the last interval, by layer and expert, and plans the next
+    // one. Nothing, with `reason` set, if the experts do not fit.
+    std::optional<Plan> plan(std::span<const std::vector<double>> counts, std::string& reason);
+
+    // While frozen, the map in force stays as it is.
+    void setFrozen(bool frozen) { m_frozen = frozen; }
+
+private:
+    bool start(std::span<const std::vector<double>> counts, Plan&, std::string& reason);
+    void forecast(std::span<const std::vector<double>> counts);
+    void improveLayer(size_t layer, Plan&);
+
+    RankTopology m_topology;
+    PlannerSettings m_settings;
+    std::vector<std::vector<double>> m_forecast;
+    std::vector<Placement> m_layers;
+    bool m_frozen = false;
+};
+
+} // namespace orioletrail
--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -54,6 +54,7 @@
 Process::Process(std::vector<std::string> arguments)
 {
     std::vector<char*> argv;
+    argv.reserve(arguments.size() + 1);
     for (std::string& argument : arguments)
         argv.push_back(argument.data());
     argv.push_back(nullptr);
