Measure hop, path, ledger and capacity; cut the idle cost of control

Cause: nothing said what the mechanisms cost. Measured idle, an entry took 1.9% of a core before its first link and 0.012% for each; the platform's calls grew with the number of sidecars (9.8, 16.8, 25.5 a second for 6, 15 and 27 endpoints); a request that crashes endpoints was seen once to take 5 of them.

Ruled out: gossip and heartbeats as the cause of the idle cost. CAF's default scheduler polls 100 times a second, and gauges were set 40 times a second.

Change: CAF's sharing scheduler; gauges twice a second; heartbeats every 250 ms only on connections with work and nothing else sent, every second otherwise; a sidecar asks the platform only when no entry answers it; the back-off of entries grows with their number; receive buffers start at 16 KB; a ledger object stays below 900 KB whatever is recorded; a death is looked at again until the endpoint refuses connections or reports, since a dying process may answer a connect for a moment.

Planner: the forecast follows half of each interval and is dropped when a quarter of the tokens went elsewhere; moves are judged by the 16-norm of rank loads, since a single move cannot lower two equal maxima.

--- a/control/agent.cc
+++ b/control/agent.cc
@@ -17,6 +17,8 @@
     constexpr Millis idlePause { 100 };
     constexpr Millis leastBackoff { 100 };
     constexpr Millis mostBackoff { 2000 };
+    // Added for each entry, so that all together ask at a rate that does not grow with their number.
+    constexpr Millis backoffPerInstance { 10 };
 
     Millis withJitter(Millis pause)
     {
@@ -80,6 +82,9 @@
 {
     if (!m_view.config->revision || isWatcher())
         return true;
+    // An instance that only learns leaves the platform alone while peers answer it.
+    if (m_settings.gossip.empty())
+        return !m_view.freshness.hearsAny(Clock::now());
     const auto rank = static_cast<Millis::rep>(watchRank(*m_view.config, m_settings.name, m_settings.zone));
     return m_view.freshness.age(Clock::now()) > m_settings.askAfter + rank * m_settings.askStep;
 }
@@ -92,7 +97,8 @@
         if (shouldAskPlatform()) {
             const bool watching = isWatcher() && m_view.config->revision;
             const bool answered = co_await askPlatform(watching ? m_settings.watchWait : Millis(0));
-            backoff = answered ? detail::leastBackoff : std::min(backoff * 2, detail::mostBackoff);
+            const Millis most = detail::mostBackoff + detail::backoffPerInstance * static_cast<Millis::rep>(m_view.config->instances.size());
+            backoff = answered ? detail::leastBackoff : std::min(backoff * 2, most);
             pause = answered && watching ? Millis(0) : detail::withJitter(backoff);
         }
         co_await sleep(pause);
--- a/control/control.cc
+++ b/control/control.cc
@@ -84,6 +84,8 @@
     caf::actor_system_config& prepare(caf::actor_system_config& config)
     {
         config.set("scheduler.max-threads", 1);
+        // The default policy polls for work 100 times a second when idle.
+        config.set("scheduler.policy", caf::atom("sharing"));
         config.set("logger.verbosity", caf::atom("quiet"));
         return config;
     }
--- a/entry/entry.cc
+++ b/entry/entry.cc
@@ -17,7 +17,8 @@
 
 namespace detail {
 
-    constexpr Millis tickInterval { 25 };
+    constexpr Millis tickInterval { 50 };
+    constexpr Millis gaugeInterval { 500 };
     // Credits asked of one sidecar beyond those held.
     constexpr uint32_t mostWanted = 16;
 
@@ -201,11 +202,15 @@
     }
 }
 
-void Entry::State::copyRevisions(TimePoint now)
+void Entry::State::updateGauges(TimePoint now, size_t openLinks)
 {
-    if (now < nextRevisionCopy)
+    if (now < nextGauges)
         return;
-    nextRevisionCopy = now + heartbeatInterval;
+    nextGauges = now + detail::gaugeInterval;
+    metrics.set("orioletrail_links_open", static_cast<double>(openLinks));
+    metrics.set("orioletrail_in_progress", static_cast<double>(server->inProgress()));
+    metrics.set("orioletrail_config_revision", static_cast<double>(view.config->revision));
+    metrics.set("orioletrail_config_age_ms", static_cast<double>(view.freshness.age(now).count()));
     std::map<std::string, uint64_t> revisions;
     for (const auto& [name, link] : links)
         revisions[name] = link->isConnected() ? link->peerRevision() : 0;
@@ -223,12 +228,8 @@
             open += link->isOpen() ? 1 : 0;
         }
         updateWants();
-        copyRevisions(now);
         ready = view.mayAct(now) && open;
-        metrics.set("orioletrail_links_open", static_cast<double>(open));
-        metrics.set("orioletrail_in_progress", static_cast<double>(server->inProgress()));
-        metrics.set("orioletrail_config_revision", static_cast<double>(view.config->revision));
-        metrics.set("orioletrail_config_age_ms", static_cast<double>(view.freshness.age(now).count()));
+        updateGauges(now, open);
     }
 }
 
--- a/entry/link.cc
+++ b/entry/link.cc
@@ -109,6 +109,7 @@
 {
     m_connection = std::make_shared<Connection>(std::move(socket));
     m_heartbeat = {};
+    m_unansweredSince.reset();
     m_connection->start({ [this, alive = m_alive](Message&& message) {
                              if (*alive)
                                  receive(std::move(message));
@@ -118,7 +119,7 @@
                 onClosed(cause);
         } });
     m_connection->send(Hello { m_identity.entry, ++m_connections, m_identity.name, m_identity.zone });
-    sendPing();
+    sendPing(Clock::now());
 }
 
 void Link::onClosed(std::string_view cause)
@@ -230,22 +231,37 @@
         m_connection->send(message);
 }
 
-void Link::sendPing()
+void Link::sendPing(TimePoint now)
 {
     const auto [revision, age] = m_hooks.revisionAndAge();
-    send(m_heartbeat.make(revision, age, Reason::None, Clock::now()));
-    m_nextPing = Clock::now() + heartbeatInterval;
+    send(m_heartbeat.make(revision, age, Reason::None, now));
+    m_lastPing = now;
+    if (!m_unansweredSince)
+        m_unansweredSince = now;
+}
+
+bool Link::isSilent(TimePoint now)
+{
+    if (m_unansweredSince && m_connection->lastReceived() >= *m_unansweredSince)
+        m_unansweredSince.reset();
+    return m_unansweredSince && now - *m_unansweredSince > heartbeatTimeout;
+}
+
+bool Link::needsPing(TimePoint now) const
+{
+    const bool busy = !m_streams.empty() || m_wanted;
+    return now - m_lastPing >= idleHeartbeatInterval || (busy && now - m_connection->lastSent() >= heartbeatInterval);
 }
 
 void Link::tick(TimePoint now)
 {
-    if (m_connection && now - m_connection->lastReceived() > heartbeatTimeout) {
+    if (m_connection && isSilent(now)) {
         m_hooks.count("orioletrail_silent_connections_total");
         const auto silent = m_connection;
         silent->close("silent");
     }
-    if (m_connection && now >= m_nextPing)
-        sendPing();
+    if (m_connection && needsPing(now))
+        sendPing(now);
     if (!m_connection && now >= m_nextConnect)
         connect(now);
     if (m_lostAt)
--- a/entry/link.h
+++ b/entry/link.h
@@ -113,7 +113,9 @@
     void onFrame(Frame&&);
     void failAll(Reason);
     void failUnresolved(Millis lostFor);
-    void sendPing();
+    void sendPing(TimePoint);
+    bool isSilent(TimePoint);
+    bool needsPing(TimePoint) const;
 
     boost::asio::any_io_executor m_executor;
     Identity m_identity;
@@ -129,7 +131,9 @@
     uint32_t m_wanted = 0;
     bool m_welcomed = false;
     bool m_connecting = false;
-    TimePoint m_nextPing;
+    TimePoint m_lastPing;
+    // When the first heartbeat was sent that nothing has come after; none if something has.
+    std::optional<TimePoint> m_unansweredSince;
     TimePoint m_nextConnect;
     // Since when the sidecar could not be asked about attempts.
     std::optional<TimePoint> m_lostAt;
--- a/entry/state.h
+++ b/entry/state.h
@@ -91,7 +91,8 @@
     void sendConfigTo(const std::string& endpoint, uint64_t since);
     uint32_t capacityOf(std::string_view service) const;
     void updateWants();
-    void copyRevisions(TimePoint);
+    // Sets the gauges and the control thread's copy of the sidecars' revisions, now and then.
+    void updateGauges(TimePoint, size_t openLinks);
     Task<> tickLoop();
 
     // Admin port, on the control thread.
@@ -127,7 +128,7 @@
     PoisonRecords poison;
     // Configuration revisions of sidecars by their heartbeats, 0 if not connected; the control thread's copy.
     std::map<std::string, uint64_t> sidecarRevisions;
-    TimePoint nextRevisionCopy;
+    TimePoint nextGauges;
     // Requests that wait for a credit, by service.
     std::map<std::string, uint32_t, std::less<>> waiting;
     size_t waitingTotal = 0;
--- a/expertmap/placement.cc
+++ b/expertmap/placement.cc
@@ -1,6 +1,7 @@
 #include "expertmap/placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <set>
 
@@ -10,9 +11,9 @@
 
     constexpr int splitSweeps = 30;
     constexpr double splitTolerance = 1e-4;
-    // Experts on the fullest rank, and ranks to copy one to, that are tried for a move.
-    constexpr size_t expertsTried = 3;
-    constexpr size_t ranksTried = 4;
+    // Experts on the fullest rank, and evictions for a copy of each, that are tried for a move.
+    constexpr size_t expertsTried = 4;
+    constexpr size_t evictionsTried = 8;
 
     uint32_t instanceOf(const RankTopology& topology, uint32_t rank)
     {
@@ -115,30 +116,56 @@
         return hot;
     }
 
-    std::vector<uint32_t> emptiestRanks(const std::vector<double>& ranks)
+    // A copy that could make room for one of a hot expert, and the largest load that would follow
+    // on the ranks concerned if its tokens went to the least loaded of the other copies.
+    struct Eviction {
+        double largest = 0;
+        uint32_t expert = 0;
+        uint32_t rank = 0;
+    };
+
+    double loadAfterLoss(const std::vector<ExpertCopy>& copies, const ExpertCopy& lost, double load, const std::vector<double>& ranks)
     {
-        std::vector<uint32_t> order(ranks.size());
-        std::iota(order.begin(), order.end(), 0);
-        const size_t count = std::min(order.size(), ranksTried);
-        std::partial_sort(order.begin(), order.begin() + static_cast<ptrdiff_t>(count), order.end(), [&](uint32_t a, uint32_t b) { return ranks[a] < ranks[b]; });
-        order.resize(count);
-        return order;
+        std::optional<double> least;
+        for (const ExpertCopy& copy : copies)
+            if (copy.rank != lost.rank && (!least || ranks[copy.rank] < *least))
+                least = ranks[copy.rank];
+        return least.value_or(0) + lost.share * load;
     }
 
-    // The expert on `rank` whose copy there is missed least.
-    std::optional<uint32_t> chooseEvicted(const Placement& placement, std::span<const double> loads, uint32_t rank, const RankTopology& topology)
+    // The evictions that look best for a copy of `hot`, best first.
+    std::vector<Eviction> rankEvictions(const Placement& placement, std::span<const double> loads, const RankTopology& topology,
+        const std::vector<double>& ranks, uint32_t hot)
     {
-        std::optional<uint32_t> best;
-        double least = 0;
-        for (uint32_t expert = 0; expert < loads.size(); ++expert)
+        const auto& hotCopies = placement.copies[hot];
+        const double part = loads[hot] / static_cast<double>(hotCopies.size() + 1);
+        std::vector<Eviction> evictions;
+        for (uint32_t expert = 0; expert < loads.size(); ++expert) {
+            if (expert == hot || placement.copies[expert].size() < 2)
+                continue;
             for (const ExpertCopy& copy : placement.copies[expert]) {
-                const double load = copy.share * loads[expert];
-                if (copy.rank != rank || (best && load >= least) || !canLose(placement.copies[expert], rank, topology))
+                if (holds(hotCopies, copy.rank) || !canLose(placement.copies[expert], copy.rank, topology))
                     continue;
-                best = expert;
-                least = load;
+                const double here = ranks[copy.rank] - copy.share * loads[expert] + part;
+                const double there = loadAfterLoss(placement.copies[expert], copy, loads[expert], ranks);
+                evictions.push_back({ std::max(here, there), expert, copy.rank });
             }
-        return best;
+        }
+        const size_t count = std::min(evictions.size(), evictionsTried);
+        std::partial_sort(evictions.begin(), evictions.begin() + static_cast<ptrdiff_t>(count), evictions.end(),
+            [](const Eviction& a, const Eviction& b) { return a.largest < b.largest; });
+        evictions.resize(count);
+        return evictions;
+    }
+
+    double unevennessOf(const std::vector<double>& ranks)
+    {
+        constexpr double power = 16;
+        const double mean = std::accumulate(ranks.begin(), ranks.end(), 0.0) / static_cast<double>(ranks.size());
+        double sum = 0;
+        for (const double load : ranks)
+            sum += std::pow(load / mean, power);
+        return std::pow(sum / static_cast<double>(ranks.size()), 1 / power);
     }
 
     void applyMove(Placement& placement, const CopyMove& move)
@@ -245,6 +272,11 @@
     return std::max(total / topology.ranks, hottest / copies);
 }
 
+double unevenness(const Placement& placement, std::span<const double> loads, const RankTopology& topology)
+{
+    return detail::unevennessOf(rankLoads(placement, loads, topology));
+}
+
 uint32_t countMoves(const Placement& before, const Placement& after)
 {
     uint32_t moves = 0;
@@ -258,22 +290,19 @@
 {
     const std::vector<double> ranks = rankLoads(placement, loads, topology);
     const auto fullest = static_cast<uint32_t>(std::max_element(ranks.begin(), ranks.end()) - ranks.begin());
-    double best = ranks[fullest];
+    double best = detail::unevennessOf(ranks);
     std::optional<CopyMove> found;
     for (const detail::Hot& hot : detail::hottestOn(placement, loads, fullest)) {
-        for (const uint32_t rank : detail::emptiestRanks(ranks)) {
-            const std::optional<uint32_t> evicted = detail::chooseEvicted(placement, loads, rank, topology);
-            if (!evicted || *evicted == hot.index || detail::holds(placement.copies[hot.index], rank))
-                continue;
-            const CopyMove move { hot.index, *evicted, rank };
+        for (const detail::Eviction& eviction : detail::rankEvictions(placement, loads, topology, ranks, hot.index)) {
+            const CopyMove move { hot.index, eviction.expert, eviction.rank };
             Placement tried = placement;
             detail::applyMove(tried, move);
             std::vector<double> triedRanks = rankLoads(tried, loads, topology);
             detail::splitFrom(tried, loads, triedRanks, detail::splitSweeps / 3);
-            const double largest = *std::max_element(triedRanks.begin(), triedRanks.end());
-            if (largest >= best)
+            const double uneven = detail::unevennessOf(triedRanks);
+            if (uneven >= best)
                 continue;
-            best = largest;
+            best = uneven;
             found = move;
             after = std::move(tried);
         }
--- a/expertmap/placement.h
+++ b/expertmap/placement.h
@@ -61,8 +61,12 @@
     uint32_t rank = 0;
 };
 
-// The move that most lowers the largest rank load, with the placement after it, or nothing if
-// none of those tried lowers it.
+// How uneven rank loads are: their 16-norm over their mean. It follows the largest load, and falls
+// too when one of several equally large loads does.
+double unevenness(const Placement&, std::span<const double> loads, const RankTopology&);
+
+// The move that most lowers the unevenness, with the placement after it, or nothing if none of
+// those tried lowers it.
 std::optional<CopyMove> findMove(const Placement&, std::span<const double> loads, const RankTopology&, Placement& after);
 
 } // namespace orioletrail
--- a/expertmap/planner.cc
+++ b/expertmap/planner.cc
@@ -4,6 +4,21 @@
 
 namespace orioletrail {
 
+namespace detail {
+
+    bool hasShifted(const std::vector<double>& forecast, const std::vector<double>& counts, double share)
+    {
+        double total = 0;
+        double elsewhere = 0;
+        for (size_t expert = 0; expert < counts.size(); ++expert) {
+            total += counts[expert];
+            elsewhere += std::max(0.0, counts[expert] - forecast[expert]);
+        }
+        return elsewhere > share * total;
+    }
+
+} // namespace detail
+
 std::string_view planReasonName(PlanReason reason)
 {
     switch (reason) {
@@ -64,9 +79,11 @@
         m_forecast.assign(counts.begin(), counts.end());
         return;
     }
-    for (size_t layer = 0; layer < counts.size(); ++layer)
+    for (size_t layer = 0; layer < counts.size(); ++layer) {
+        const double smoothing = detail::hasShifted(m_forecast[layer], counts[layer], m_settings.shiftShare) ? 1 : m_settings.smoothing;
         for (size_t expert = 0; expert < counts[layer].size(); ++expert)
-            m_forecast[layer][expert] += m_settings.smoothing * (counts[layer][expert] - m_forecast[layer][expert]);
+            m_forecast[layer][expert] += smoothing * (counts[layer][expert] - m_forecast[layer][expert]);
+    }
 }
 
 void Planner::improveLayer(size_t layer, Plan& plan)
@@ -78,21 +95,19 @@
         return;
     splitShares(placement, loads, m_topology);
     plan.reason = std::max(plan.reason, PlanReason::SharesOnly);
-    double largest = largestRankLoad(placement, loads, m_topology);
-    while (largest > bound * m_settings.tolerated) {
+    while (largestRankLoad(placement, loads, m_topology) > bound * m_settings.tolerated) {
         if (plan.moves >= m_settings.movesPerInterval) {
             plan.reason = PlanReason::RateLimited;
             return;
         }
         Placement after;
-        const std::optional<CopyMove> move = findMove(placement, loads, m_topology, after);
-        const double lowered = move ? largestRankLoad(after, loads, m_topology) : largest;
-        if (largest - lowered < largest * m_settings.leastGain) {
+        const bool found = findMove(placement, loads, m_topology, after).has_value();
+        const double before = unevenness(placement, loads, m_topology);
+        if (!found || before - unevenness(after, loads, m_topology) < before * m_settings.leastGain) {
             plan.reason = std::max(plan.reason, PlanReason::NoGain);
             return;
         }
         placement = std::move(after);
-        largest = lowered;
         ++plan.moves;
         plan.reason = std::max(plan.reason, PlanReason::Moved);
     }
--- a/expertmap/planner.h
+++ b/expertmap/planner.h
@@ -7,11 +7,14 @@
 
 struct PlannerSettings {
     // Weight of the latest token counts in the forecast.
-    double smoothing = 0.3;
+    double smoothing = 0.5;
+    // Share of an interval's tokens that must have gone to other experts than forecast for the
+    // forecast to be dropped: the topic has changed.
+    double shiftShare = 0.25;
     // Largest rank load, over its bound, up to which nothing is moved.
-    double tolerated = 1.02;
-    // A move must save this share of the largest rank load to be made.
-    double leastGain = 0.002;
+    double tolerated = 1.01;
+    // A move must lower the unevenness of rank loads by this share to be made.
+    double leastGain = 0.001;
     // Weights that the weight store can load in one interval, over all layers.
     uint32_t movesPerInterval = 64;
 };
--- a/ledger/shard-test.cc
+++ b/ledger/shard-test.cc
@@ -256,6 +256,27 @@
     CHECK(owner.mayRun(4));
 }
 
+TEST_CASE("recorded bodies never grow the object beyond what the platform takes")
+{
+    FakeObject object;
+    LedgerSettings settings;
+    settings.maxBytes = 20'000;
+    settings.retention = std::chrono::hours(24);
+    Owner owner(1, object, settings);
+    for (uint64_t ticket = 1; ticket <= 60; ++ticket) {
+        owner.claim(ticket, "k" + std::to_string(ticket));
+        owner.settle();
+        if (owner.mayRun(ticket))
+            owner.take(owner.m_shard.finish(ticket, "k" + std::to_string(ticket), { 200, "", std::string(1500, 'x'), false }, owner.m_now));
+        owner.settle();
+        REQUIRE(object.value.size() < 21'000);
+    }
+    owner.claim(100, "k1");
+    CHECK(owner.m_results[100].answer.has_value());
+    owner.claim(101, "k60");
+    CHECK((owner.m_results[101].answer ? owner.m_results[101].answer->truncated : true));
+}
+
 TEST_CASE("a version 7 UUID tells when it was made")
 {
     CHECK(mintTime("017F22E2-79B0-7CC3-98C4-DC0C0C07398F") == 1645557742);
--- a/ledger/shard.cc
+++ b/ledger/shard.cc
@@ -4,6 +4,13 @@
 
 namespace orioletrail {
 
+namespace detail {
+
+    // Bytes of one entry in the stored form, without the recorded body.
+    constexpr size_t entryBytes = 200;
+
+} // namespace detail
+
 LedgerActions LedgerShard::claim(uint64_t ticket, std::string_view key, std::string_view bodyDigest, TimePoint now, int64_t unixSeconds)
 {
     m_unixSeconds = unixSeconds;
@@ -138,6 +145,9 @@
         ++m_pending.token;
     }
     prune();
+    m_pendingBytes = 0;
+    for (const auto& [key, entry] : m_pending.entries)
+        m_pendingBytes += detail::entryBytes + (entry.answer ? entry.answer->body.size() : 0);
     addEndings();
     if (!addClaims(now, actions) && m_endings.empty())
         return actions;
@@ -154,13 +164,25 @@
         const auto found = m_pending.entries.find(key);
         if (found == m_pending.entries.end() || found->second.claimant != ending.claimant)
             continue;
-        if (ending.answer)
+        if (ending.answer) {
             found->second.answer = ending.answer;
-        else
+            const size_t bytes = ending.answer->body.size();
+            if (m_pendingBytes + bytes > m_settings.maxBytes) {
+                found->second.answer->body.clear();
+                found->second.answer->truncated = true;
+            } else {
+                m_pendingBytes += bytes;
+            }
+        } else
             m_pending.entries.erase(found);
     }
 }
 
+bool LedgerShard::isFull() const
+{
+    return m_pending.entries.size() >= m_settings.maxEntries || m_pendingBytes + detail::entryBytes > m_settings.maxBytes;
+}
+
 size_t LedgerShard::addClaims(TimePoint now, LedgerActions& actions)
 {
     size_t added = 0;
@@ -168,11 +190,12 @@
         const auto& [ticket, claim] = *waiting;
         const bool foreign = awaitsForeign(claim, now);
         const bool known = !foreign && decideKnown(claim, ticket, now, actions);
-        const bool full = !foreign && !known && m_pending.entries.size() >= m_settings.maxEntries;
+        const bool full = !foreign && !known && isFull();
         if (full)
             actions.results.push_back({ ticket, Reason::LedgerFull, Outcome::NotRun, std::nullopt });
         else if (!known && !foreign) {
             m_pending.entries.try_emplace(claim.key, LedgerEntry { claim.bodyDigest, claimantOf(ticket), claim.claimedAt, std::nullopt });
+            m_pendingBytes += detail::entryBytes;
             ++added;
         }
         waiting = known || full ? m_waiting.erase(waiting) : std::next(waiting);
--- a/ledger/shard.h
+++ b/ledger/shard.h
@@ -10,8 +10,9 @@
 struct LedgerSettings {
     // How long a claimed key is kept after it was claimed.
     std::chrono::seconds retention { 24 * 3600 };
-    // Entries in one shard, which bounds the size of its object.
+    // Bounds on one shard's object; the platform takes values up to 1 MB.
     size_t maxEntries = 4000;
+    size_t maxBytes = 900'000;
     // Larger recorded bodies are left out.
     size_t maxRecordedBody = 2048;
     // Least time between two writes of a shard, which bounds the load on the platform.
@@ -120,6 +121,7 @@
     void addEndings();
     size_t addClaims(TimePoint, LedgerActions&);
     void settleEndings();
+    bool isFull() const;
     LedgerActions startRead();
     LedgerActions startWrite(TimePoint);
     void settleClaims(LedgerActions&);
@@ -144,6 +146,8 @@
     std::map<uint64_t, Waiting> m_waiting;
     std::map<std::string, Ending, std::less<>> m_endings;
     int64_t m_unixSeconds = 0;
+    // Size of the pending record, estimated from its entries.
+    size_t m_pendingBytes = 0;
     uint64_t m_writes = 0;
 };
 
--- a/membership/freshness.cc
+++ b/membership/freshness.cc
@@ -1,5 +1,7 @@
 #include "membership/freshness.h"
 
+#include <algorithm>
+
 namespace orioletrail {
 
 namespace detail {
@@ -24,6 +26,11 @@
         found->second = std::max(found->second, now);
 }
 
+bool Freshness::hearsAny(TimePoint now) const
+{
+    return std::any_of(m_heard.begin(), m_heard.end(), [&](const auto& item) { return now - item.second <= m_settings.heardFor; });
+}
+
 Millis Freshness::age(TimePoint now) const
 {
     return m_confirmed ? std::chrono::duration_cast<Millis>(now - *m_confirmed) : detail::neverConfirmed;
--- a/membership/freshness.h
+++ b/membership/freshness.h
@@ -31,6 +31,9 @@
 
     void hear(std::string_view zone, TimePoint);
 
+    // True if any peer was heard of lately.
+    bool hearsAny(TimePoint now) const;
+
     // Time since the configuration was known to be current.
     Millis age(TimePoint now) const;
 
--- a/sidecar/sidecar.cc
+++ b/sidecar/sidecar.cc
@@ -22,6 +22,8 @@
     constexpr Millis ledgerInterval { 10 };
     // Probes that may fail in a row before the endpoint counts as lost.
     constexpr uint32_t probeFailuresAllowed = 3;
+    constexpr int deathChecks = 5;
+    constexpr Millis deathCheckPause { 50 };
 
     Task<> sleep(asio::any_io_executor executor, Millis pause)
     {
@@ -206,7 +208,8 @@
 {
     while (true) {
         co_await detail::sleep(traffic.get_executor(), detail::ledgerInterval);
-        claims->tick();
+        if (!claims->isIdle())
+            claims->tick();
     }
 }
 
@@ -225,7 +228,7 @@
     }
     std::vector<std::shared_ptr<Connection>> silent;
     for (auto& [number, peer] : peers)
-        if (now - peer.connection->lastReceived() > heartbeatTimeout)
+        if (now - peer.connection->lastReceived() > peerTimeout)
             silent.push_back(peer.connection);
     for (const auto& connection : silent) {
         metrics.count("orioletrail_silent_connections_total");
@@ -262,6 +265,7 @@
     call.request.method = "GET";
     call.request.target = "/load";
     call.timeout = settings.probeTimeout;
+    call.reuse = false;
     const HttpResult result = co_await endpoint->call(std::move(call));
     failure = result.failure;
     if (result.ok() && result.status == 200)
@@ -271,9 +275,17 @@
 
 Task<bool> Sidecar::State::hasEndpointDied()
 {
-    HttpFailure failure = HttpFailure::None;
-    const std::optional<LoadReport> report = co_await askLoad(failure);
-    co_return failure == HttpFailure::Connect || (report && report->start != endpointStart);
+    // A dying process may close some of its sockets before others, so one failed call says little.
+    for (int i = 0; i < detail::deathChecks; ++i) {
+        HttpFailure failure = HttpFailure::None;
+        const std::optional<LoadReport> report = co_await askLoad(failure);
+        if (report)
+            co_return report->start != endpointStart;
+        if (failure == HttpFailure::Connect)
+            co_return true;
+        co_await detail::sleep(traffic.get_executor(), detail::deathCheckPause);
+    }
+    co_return true;
 }
 
 Task<> Sidecar::State::probe()
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -23,6 +23,8 @@
     // ended by a signal has 128 and its number.
     std::optional<int> wait(Millis);
 
+    pid_t pid() const { return m_pid; }
+
 private:
     pid_t m_pid = 0;
     std::optional<int> m_exit;
@@ -36,7 +38,9 @@
     // Put a relay before each sidecar, and before the platform for each entry.
     bool relays = false;
     std::vector<std::string> engineFlags;
+    // Instead of the limits of 4 and 16.
     std::vector<std::string> sidecarFlags;
+    std::vector<std::string> serviceFlags;
 };
 
 struct CommandOutput {
@@ -68,10 +72,17 @@
     HttpResult call(const std::string& address, std::string method, std::string target, std::string body = {}, HeaderList headers = {});
     std::string entryAddress(int zone) const;
     std::string adminAddress(int zone) const;
+    std::string platformAddress() const;
+    std::string endpointAddress(const std::string& name) const;
+    std::string sidecarAddress(const std::string& name) const;
 
     // Runs `orioletrail ctl` against an entry.
     CommandOutput ctl(const std::string& line, int zone = 1);
 
+    // Waits until every entry and sidecar reports the same configuration revision, and returns
+    // the milliseconds since the given time; negative if that took more than ten seconds.
+    double waitForRevision(TimePoint since);
+
     // Sets a fault of a stand-in: an endpoint's name or "platform".
     void fault(const std::string& name, const std::string& mode, int delayMs = 0, int count = 0);
 
--- a/transport/connection.cc
+++ b/transport/connection.cc
@@ -10,7 +10,7 @@
 
 namespace detail {
 
-    constexpr size_t initialReadBytes = 64 * 1024;
+    constexpr size_t initialReadBytes = 16 * 1024;
     // A peer that reads nothing while this much is queued is cut off.
     constexpr size_t maxQueuedBytes = 64 * 1024 * 1024;
 
@@ -34,6 +34,7 @@
 {
     if (!m_open)
         return;
+    m_lastSent = Clock::now();
     encode(message, m_queued);
     if (queuedBytes() > detail::maxQueuedBytes) {
         // Not closed at once, since the caller may be walking over its connections.
--- a/transport/connection.h
+++ b/transport/connection.h
@@ -35,6 +35,9 @@
     // When anything was last received, by the monotonic clock.
     TimePoint lastReceived() const { return m_lastReceived; }
 
+    // When a message was last queued.
+    TimePoint lastSent() const { return m_lastSent; }
+
     size_t queuedBytes() const { return m_queued.size() + m_writing.size(); }
 
 private:
@@ -49,6 +52,7 @@
     std::vector<char> m_queued;
     std::vector<char> m_writing;
     TimePoint m_lastReceived = Clock::now();
+    TimePoint m_lastSent = Clock::now();
     bool m_open = true;
     bool m_writeScheduled = false;
 };
--- a/transport/heartbeat.h
+++ b/transport/heartbeat.h
@@ -5,9 +5,15 @@
 
 namespace orioletrail {
 
+// An entry sends a heartbeat when it has sent nothing else for this long while attempts are
+// in progress, and the sidecar answers each.
 inline constexpr Millis heartbeatInterval { 250 };
-// A connection that is silent for this long is given up.
+// Least rate of heartbeats: on an idle connection, and for the proof of fresh configuration.
+inline constexpr Millis idleHeartbeatInterval { 1000 };
+// An entry gives up a connection on which nothing came for this long after a heartbeat.
 inline constexpr Millis heartbeatTimeout { 1000 };
+// A sidecar gives up a connection on which nothing came for this long.
+inline constexpr Millis peerTimeout { 3000 };
 
 // When the peer's configuration was current, as a heartbeat proves it.
 struct HeartbeatProof {
