Run rank groups: lease, leader and ranks as processes

Change: orioletrail rank, the sidecar of one rank. The first ranks compete for a lease in the platform whose token fences former leaders; the leader plans from token counts, makes each map version by a conditional write, has all ranks load it and switches in the step that follows. Operators freeze, resume and show maps. A rank now reports a step done, and agrees to the next, only when its engine has finished it: with the agreement sent again every 100 ms, the earlier rule would have reported steps done that were still running.

Ruled out: taking over a lease by comparing clocks.

Tests, real processes: map changes under load, leader killed, leader frozen past its lease, rank and engine replaced, rank frozen, platform down, answers lost.

--- a/bench/capacity.cc
+++ b/bench/capacity.cc
@@ -160,7 +160,7 @@
                             learned.push_back(peer);
                 }
             }
-            printPoint("spread by gossip", names.size(), { { "rounds", rounds }, { "seconds", rounds * std::chrono::duration<double>(tick).count() }, { "neighboursMean", neighbours } });
+            printPoint("spread by gossip", static_cast<double>(names.size()), { { "rounds", rounds }, { "seconds", rounds * std::chrono::duration<double>(tick).count() }, { "neighboursMean", neighbours } });
         }
     }
 
@@ -224,7 +224,9 @@
             size_t messages = 0;
             auto exchange = [&] {
                 for (const GroupMessage& message : leader.messages()) {
-                    const RankActions actions = members[message.rank].receive(message);
+                    RankActions actions = members[message.rank].receive(message);
+                    if (actions.run)
+                        actions = members[message.rank].onStepDone(actions.run->first);
                     messages += 1 + (actions.reply ? 1 : 0);
                     if (actions.reply)
                         leader.receive(*actions.reply);
--- a/cmd/main.cc
+++ b/cmd/main.cc
@@ -2,6 +2,7 @@
 #include "cmd/ctl.h"
 #include "entry/entry.h"
 #include "operator/command.h"
+#include "rank/rank.h"
 #include "sidecar/sidecar.h"
 #include "telemetry/log.h"
 
@@ -93,6 +94,26 @@
         addMillis(app, "--drain-timeout", settings.drainTimeout, 0, 3'600'000, "longest wait for attempts in progress");
     }
 
+    void addRank(CLI::App& app, RankSettings& settings)
+    {
+        app.add_option("--group", settings.group, "name of the group")->required();
+        app.add_option("--rank", settings.rank, "number of this rank, from 0")->required();
+        app.add_option("--ranks", settings.ranks, "IP:PORT of each rank's --listen, in order")->required()->group("Addresses");
+        app.add_option("--listen", settings.listen, "IP:PORT for the group's leader")->capture_default_str()->group("Addresses");
+        app.add_option("--admin", settings.admin, "IP:PORT for metrics")->capture_default_str()->group("Addresses");
+        app.add_option("--engine", settings.engine, "IP:PORT of the rank's engine")->capture_default_str()->group("Addresses");
+        app.add_option("--platform", settings.platform, "IP:PORT of the object API")->capture_default_str()->group("Addresses");
+        app.add_option("--candidates", settings.candidates, "ranks that may lead, from rank 0 on")->check(CLI::Range(1, 1024))->capture_default_str()->group("Group");
+        app.add_option("--steps-per-agreement", settings.stepsPerAgreement, "engine steps that one agreement covers")->check(CLI::Range(1, 100'000))->capture_default_str()->group("Group");
+        app.add_option("--slots-per-rank", settings.slotsPerRank, "experts that a rank holds of one layer")->check(CLI::Range(1, 4096))->capture_default_str()->group("Group");
+        app.add_option("--moves-per-interval", settings.planner.movesPerInterval, "copies that the weight store can load in one plan interval")->check(CLI::Range(0, 1'000'000))->capture_default_str()->group("Group");
+        addMillis(app, "--plan-interval", settings.planInterval, 100, 3'600'000, "time between plans");
+        addMillis(app, "--step-timeout", settings.stepTimeout, 100, 600'000, "time after which a step without an answer is given up");
+        addMillis(app, "--prepare-timeout", settings.prepareTimeout, 100, 3'600'000, "time after which loading a map is given up");
+        addMillis(app, "--platform-timeout", settings.platformTimeout, 10, 60'000, "timeout of a call to the platform");
+        addMillis(app, "--lease-timeout", settings.lease.timeout, 500, 600'000, "time after which a lease that is not renewed is taken over");
+    }
+
     template <class Daemon, class Settings>
     int runDaemon(const Settings& settings, LogLevel level)
     {
@@ -145,6 +166,11 @@
         addSidecar(*sidecar, sidecarSettings);
         addCommon(*sidecar, level);
         addVariables(*sidecar);
+        RankSettings rankSettings;
+        CLI::App* rank = app.add_subcommand("rank", "guard one rank of a group in lock-step");
+        addRank(*rank, rankSettings);
+        addCommon(*rank, level);
+        addVariables(*rank);
         CLI::App* ctl = app.add_subcommand("ctl", "query or command the system through an entry");
         addCtl(*ctl, ctlSettings);
         addVariables(*ctl);
@@ -160,6 +186,8 @@
             return checkConfig(path);
         if (*ctl)
             return runCtl(ctlSettings);
+        if (*rank)
+            return runDaemon<Rank>(rankSettings, level);
         return *entry ? runDaemon<Entry>(entrySettings, level) : runDaemon<Sidecar>(sidecarSettings, level);
     }
 
--- a/config/objects.cc
+++ b/config/objects.cc
@@ -91,7 +91,7 @@
     bool isKnownKind(std::string_view kind)
     {
         return kind == "zone" || kind == "account" || kind == "service" || kind == "rule" || kind == "endpoint"
-            || kind == "instance";
+            || kind == "instance" || kind == "group";
     }
 
     void addOfKind(ConfigView& view, std::string_view kind, const std::string& name, FieldReader& fields)
@@ -115,6 +115,8 @@
                 fields.text("pathPrefix", false, "/"), fields.flag("idempotent"), fields.flag("requireKey") });
         } else if (kind == "instance") {
             view.instances[name] = Instance { name, fields.text("zone"), fields.text("gossip"), fields.flag("leaving") };
+        } else if (kind == "group") {
+            view.groups[name] = Group { name, fields.flag("frozen") };
         } else {
             view.endpoints[name] = Endpoint { name, fields.text("service"), fields.text("zone"),
                 fields.text("sidecar"), fields.flag("leaving") };
@@ -158,7 +160,7 @@
     const std::string_view kind = key.substr(configPrefix.size(), slash - configPrefix.size());
     if (!detail::isKnownKind(kind)) {
         reason = "object \"" + std::string(key) + "\": kind \"" + std::string(kind)
-            + "\" is not one of zone, account, service, rule, endpoint, instance";
+            + "\" is not one of zone, account, service, rule, endpoint, instance, group";
         return false;
     }
     boost::system::error_code error;
@@ -178,6 +180,7 @@
     detail::absorb(view.services, scratch.services);
     detail::absorb(view.endpoints, scratch.endpoints);
     detail::absorb(view.instances, scratch.instances);
+    detail::absorb(view.groups, scratch.groups);
     view.rules.insert(view.rules.end(), scratch.rules.begin(), scratch.rules.end());
     return true;
 }
--- a/config/objects.h
+++ b/config/objects.h
@@ -71,6 +71,13 @@
     bool leaving = false;
 };
 
+// A group of ranks that run in lock-step on an expert map.
+struct Group {
+    std::string name;
+    // Operators hold the map in force as it is.
+    bool frozen = false;
+};
+
 // Everything that is in force at one revision, indexed for lookups. Immutable once published.
 struct ConfigView {
     uint64_t revision = 0;
@@ -80,6 +87,7 @@
     std::vector<Rule> rules;
     std::map<std::string, Endpoint, std::less<>> endpoints;
     std::map<std::string, Instance, std::less<>> instances;
+    std::map<std::string, Group, std::less<>> groups;
 
     // True if the zone is known to be taken out. An unknown zone counts as in.
     bool isZoneOut(std::string_view zone) const;
--- a/entry/admin.cc
+++ b/entry/admin.cc
@@ -98,6 +98,12 @@
         return setFlag("config/endpoint/" + command.name, "leaving", false);
     case CommandKind::RemoveEndpoint:
         return removeObject("config/endpoint/" + command.name);
+    case CommandKind::FreezeMap:
+        return setFlag("config/group/" + command.name, "frozen", true);
+    case CommandKind::ResumeMap:
+        return setFlag("config/group/" + command.name, "frozen", false);
+    case CommandKind::ShowMaps:
+        return showMaps();
     case CommandKind::Apply:
         return applyObjects(command);
     case CommandKind::ShowConfig:
@@ -190,6 +196,29 @@
     co_return CommandResult { CommandStatus::Done, key + " removed at revision " + std::to_string(reply.revision), {} };
 }
 
+Task<CommandResult> Entry::State::showMaps()
+{
+    const std::optional<ConfigDelta> stored = co_await platform.list("map/", 0, Millis(0));
+    if (!stored)
+        co_return detail::failed(CommandStatus::Unknown, "the platform did not answer");
+    CommandResult result;
+    result.rows.push_back({ "group", "latest map", "why", "frozen" });
+    for (const ObjectChange& change : stored->changes) {
+        boost::system::error_code error;
+        const json::value map = json::parse(change.value, error);
+        if (error || !map.is_object())
+            continue;
+        const std::string name = change.key.substr(std::string_view("map/").size());
+        const auto group = controlView.config->groups.find(name);
+        const bool frozen = group != controlView.config->groups.end() && group->second.frozen;
+        const json::value* version = map.get_object().if_contains("version");
+        const json::value* reason = map.get_object().if_contains("reason");
+        result.rows.push_back({ name, version ? json::serialize(*version) : "unknown",
+            reason && reason->is_string() ? std::string(reason->get_string()) : "unknown", frozen ? "yes" : "no" });
+    }
+    co_return result;
+}
+
 Task<> Entry::State::waitUntilInForce(uint64_t revision)
 {
     const TimePoint until = Clock::now() + detail::inForceTimeout;
--- a/entry/state.h
+++ b/entry/state.h
@@ -104,6 +104,7 @@
     Task<CommandResult> applyObjects(const Command&);
     Task<CommandResult> removeObject(std::string key);
     Task<CommandResult> showRevisions();
+    Task<CommandResult> showMaps();
     Task<> waitUntilInForce(uint64_t revision);
 
     void shutDown();
--- a/expertmap/group-test.cc
+++ b/expertmap/group-test.cc
@@ -136,8 +136,10 @@
             m_wire.push_back({ leader, false, *actions.reply });
         if (actions.load)
             m_loads.push_back({ rank, m_ranks[rank]->start(), *actions.load, leader });
-        if (actions.run)
-            note(actions.run->first, actions.run->second);
+        if (!actions.run)
+            return;
+        note(actions.run->first, actions.run->second);
+        handle(rank, leader, m_ranks[rank]->onStepDone(actions.run->first));
     }
 
     void finishLoads(uint32_t rank)
@@ -244,9 +246,13 @@
     rank.onLoaded(1);
     GroupLeader leader(1, 1);
     auto exchange = [&] {
-        for (const GroupMessage& message : leader.messages())
-            if (const RankActions actions = rank.receive(message); actions.reply)
+        for (const GroupMessage& message : leader.messages()) {
+            RankActions actions = rank.receive(message);
+            if (actions.run)
+                actions = rank.onStepDone(actions.run->first);
+            if (actions.reply)
                 leader.receive(*actions.reply);
+        }
     };
     exchange();
     CHECK(leader.inForce() == 1);
@@ -265,6 +271,23 @@
     CHECK(leader.step().number == 2);
 }
 
+TEST_CASE("a rank that is still running a step neither reports it done nor agrees to another")
+{
+    GroupRank rank(0, 1, 0);
+    rank.onLoaded(1);
+    const StepId first { 1, 1 };
+    rank.receive({ GroupMessageKind::Join, 0, 0, { 1, 0 }, 0 });
+    rank.receive({ GroupMessageKind::Propose, 0, 1, first, 1 });
+    const GroupMessage run { GroupMessageKind::Run, 0, 1, first, 1 };
+    CHECK(rank.receive(run).run);
+    CHECK_FALSE(rank.receive(run).reply);
+    const GroupMessage next { GroupMessageKind::Propose, 0, 1, { 1, 2 }, 1 };
+    CHECK_FALSE(rank.receive(next).reply);
+    CHECK(rank.onStepDone(first).reply);
+    CHECK(rank.receive(run).reply->kind == GroupMessageKind::Ran);
+    CHECK(rank.receive(next).reply);
+}
+
 TEST_CASE("a leader that learns of a higher token stops")
 {
     GroupRank rank(0, 1, 5);
--- a/expertmap/group.cc
+++ b/expertmap/group.cc
@@ -14,7 +14,7 @@
 
 GroupMessage GroupRank::reply(GroupMessageKind kind, const GroupMessage& to) const
 {
-    return { kind, m_rank, m_start, to.step, to.version, {} };
+    return { kind, m_rank, m_start, to.step, to.version };
 }
 
 RankActions GroupRank::receive(const GroupMessage& message)
@@ -65,11 +65,21 @@
     return actions;
 }
 
+RankActions GroupRank::onStepDone(const StepId& step)
+{
+    RankActions actions;
+    if (!m_running || m_running->step != step)
+        return actions;
+    actions.reply = reply(GroupMessageKind::Ran, *m_running);
+    m_running.reset();
+    return actions;
+}
+
 RankActions GroupRank::onPropose(const GroupMessage& message)
 {
     RankActions actions;
     const bool older = m_rules.checkToken && m_accepted && message.step < m_accepted->first;
-    if (older || (m_rules.waitForLoad && !isLoaded(message.version)))
+    if (older || m_running || (m_rules.waitForLoad && !isLoaded(message.version)))
         return actions;
     // A rank agrees to one version for a step and never to another.
     if (m_accepted && m_accepted->first == message.step && m_accepted->second != message.version)
@@ -85,11 +95,14 @@
     const bool accepted = m_accepted && m_accepted->first == message.step && m_accepted->second == message.version;
     if ((m_rules.askRanks && !accepted) || (!accepted && !isLoaded(message.version)))
         return actions;
-    actions.reply = reply(GroupMessageKind::Ran, message);
-    const bool done = m_ran && (m_rules.checkToken ? *m_ran >= message.step : *m_ran == message.step);
-    if (done)
+    const bool known = m_ran && (m_rules.checkToken ? *m_ran >= message.step : *m_ran == message.step);
+    if (m_running || known) {
+        if (!m_running)
+            actions.reply = reply(GroupMessageKind::Ran, message);
         return actions;
+    }
     m_ran = message.step;
+    m_running = message;
     // With the check broken, a rank that lacks the version uses the one that it has.
     const uint64_t version = isLoaded(message.version) ? message.version : m_inForce;
     actions.run = { message.step, version };
@@ -120,7 +133,7 @@
 {
     const auto start = m_starts.find(rank);
     const uint64_t version = kind == GroupMessageKind::Prepare ? m_preparing.value_or(0) : m_stepVersion;
-    return { kind, rank, start == m_starts.end() ? 0 : start->second, m_step, version, {} };
+    return { kind, rank, start == m_starts.end() ? 0 : start->second, m_step, version };
 }
 
 std::vector<GroupMessage> GroupLeader::messages() const
--- a/expertmap/group.h
+++ b/expertmap/group.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -49,7 +50,9 @@
     StepId step;
     uint64_t version = 0;
     // Joined only.
-    std::vector<uint64_t> loaded;
+    std::vector<uint64_t> loaded {};
+    // Prepare only: the expert map of the version, as JSON. Filled in by the driver.
+    std::string map {};
 };
 
 // Parts of the rules that a test can break, to show that it notices. All hold by default.
@@ -84,6 +87,9 @@
 
     RankActions onLoaded(uint64_t version);
 
+    // The rank has finished the step that it was told to run.
+    RankActions onStepDone(const StepId&);
+
     bool isLoaded(uint64_t version) const { return m_loaded.contains(version); }
     uint64_t start() const { return m_start; }
 
@@ -102,6 +108,8 @@
     std::map<uint64_t, GroupMessage> m_loading;
     std::optional<std::pair<StepId, uint64_t>> m_accepted;
     std::optional<StepId> m_ran;
+    // The leader's request for the step that the rank is running.
+    std::optional<GroupMessage> m_running;
     uint64_t m_inForce = 0;
 };
 
--- a/expertmap/planner.cc
+++ b/expertmap/planner.cc
@@ -42,6 +42,8 @@
 {
     Plan plan;
     forecast(counts);
+    if (!fits(counts))
+        m_layers.clear();
     if (m_layers.empty()) {
         if (!start(counts, plan, reason))
             return std::nullopt;
@@ -58,6 +60,12 @@
     return plan;
 }
 
+bool Planner::fits(std::span<const std::vector<double>> counts) const
+{
+    return std::equal(counts.begin(), counts.end(), m_layers.begin(), m_layers.end(),
+        [](const std::vector<double>& loads, const Placement& placement) { return loads.size() == placement.copies.size(); });
+}
+
 bool Planner::start(std::span<const std::vector<double>> counts, Plan& plan, std::string& reason)
 {
     for (const std::vector<double>& loads : counts) {
--- a/expertmap/planner.h
+++ b/expertmap/planner.h
@@ -57,10 +57,15 @@
     // one. Nothing, with `reason` set, if the experts do not fit.
     std::optional<Plan> plan(std::span<const std::vector<double>> counts, std::string& reason);
 
+    // Takes over placements that are in force already, from an earlier planner.
+    void adopt(std::vector<Placement> layers) { m_layers = std::move(layers); }
+
     // While frozen, the map in force stays as it is.
     void setFrozen(bool frozen) { m_frozen = frozen; }
 
 private:
+    // True if the placements in force are for as many layers and experts.
+    bool fits(std::span<const std::vector<double>> counts) const;
     bool start(std::span<const std::vector<double>> counts, Plan&, std::string& reason);
     void forecast(std::span<const std::vector<double>> counts);
     void improveLayer(size_t layer, Plan&);
--- a/fakes/judge.cc
+++ b/fakes/judge.cc
@@ -1,5 +1,6 @@
 #include "fakes/judge.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <iomanip>
 #include <iostream>
@@ -43,9 +44,35 @@
         std::map<std::string, int> ordersByKey;
     };
 
+    struct StepRecord {
+        int64_t at = 0;
+        uint64_t token = 0;
+        uint64_t number = 0;
+        uint64_t version = 0;
+    };
+
+    // Checks that each step ran with one map, and none of a lower token after one of a higher.
+    void judgeSteps(std::vector<StepRecord> steps, Verdict& verdict)
+    {
+        std::stable_sort(steps.begin(), steps.end(), [](const StepRecord& a, const StepRecord& b) { return a.at < b.at; });
+        std::map<std::pair<uint64_t, uint64_t>, uint64_t> versions;
+        std::set<uint64_t> maps;
+        uint64_t highest = 0;
+        for (const StepRecord& step : steps) {
+            const auto [known, added] = versions.emplace(std::pair(step.token, step.number), step.version);
+            verdict.stepsWithTwoMaps += known->second == step.version ? 0 : 1;
+            verdict.stepsOfOldLeaders += step.token < highest ? 1 : 0;
+            highest = std::max(highest, step.token);
+            maps.insert(step.version);
+        }
+        verdict.steps = versions.size();
+        verdict.maps = maps.size();
+    }
+
     Records takeRecords(const JudgeSettings& settings, Verdict& verdict)
     {
         Records records;
+        std::vector<StepRecord> steps;
         for (const json::object& line : readLines(settings.records)) {
             const std::string what = textOf(line, "what");
             const int64_t at = line.at("at").to_number<int64_t>();
@@ -54,6 +81,8 @@
                 turnedCold = at;
             if (what == "overload" && at - turnedCold > coldNoticeMs)
                 ++verdict.overloads;
+            if (what == "step")
+                steps.push_back({ at, line.at("token").to_number<uint64_t>(), line.at("number").to_number<uint64_t>(), line.at("version").to_number<uint64_t>() });
             if (what != "run" && what != "order" && what != "lookup")
                 continue;
             records.requests.insert(textOf(line, "request"));
@@ -63,6 +92,7 @@
                 if (textOf(line, "name").starts_with(window.names) && at >= window.from && at < window.to)
                     ++verdict.ranWhileClosed;
         }
+        judgeSteps(std::move(steps), verdict);
         return records;
     }
 
@@ -101,8 +131,12 @@
     const std::pair<std::string_view, uint64_t> faults[] = { { "orders run twice", verdict.doubledOrders },
         { "wrong answers", verdict.wrongAnswers }, { "untrue refusals", verdict.untrueRefusals },
         { "orders lost", verdict.lostOrders }, { "endpoints overloaded", verdict.overloads },
-        { "runs in a zone that was out", verdict.ranWhileClosed } };
+        { "runs in a zone that was out", verdict.ranWhileClosed }, { "steps run with two maps", verdict.stepsWithTwoMaps },
+        { "steps of a former leader", verdict.stepsOfOldLeaders } };
     std::cout << std::left << std::setw(50) << "orders run" << verdict.orders << '\n';
+    if (verdict.steps)
+        std::cout << std::setw(50) << "steps of the rank group" << verdict.steps << '\n'
+                  << std::setw(50) << "expert maps that they ran with" << verdict.maps << '\n';
     for (const auto& [name, count] : faults)
         std::cout << std::left << std::setw(50) << name << count << '\n';
     return verdict.isClean() ? 0 : 1;
--- a/fakes/judge.h
+++ b/fakes/judge.h
@@ -34,10 +34,16 @@
     uint64_t lostOrders = 0;
     uint64_t overloads = 0;
     uint64_t ranWhileClosed = 0;
+    // Steps of rank groups, maps that they ran with, and what must not happen.
+    uint64_t steps = 0;
+    uint64_t maps = 0;
+    uint64_t stepsWithTwoMaps = 0;
+    uint64_t stepsOfOldLeaders = 0;
 
     bool isClean() const
     {
-        return !doubledOrders && !wrongAnswers && !untrueRefusals && !lostOrders && !overloads && !ranWhileClosed;
+        return !doubledOrders && !wrongAnswers && !untrueRefusals && !lostOrders && !overloads && !ranWhileClosed && !stepsWithTwoMaps
+            && !stepsOfOldLeaders;
     }
 };
 
--- a/fakes/main.cc
+++ b/fakes/main.cc
@@ -3,6 +3,7 @@
 #include "fakes/engine.h"
 #include "fakes/judge.h"
 #include "fakes/platform.h"
+#include "fakes/rank.h"
 #include "fakes/relay.h"
 #include "fakes/service.h"
 
@@ -72,6 +73,11 @@
     judge->add_option("--told", judgeSettings.told);
     judge->add_option("--record", judgeSettings.records);
     judge->add_option("--closed", windows, "PREFIX:FROM:TO in milliseconds since 1970");
+    RankFakeSettings rankSettings;
+    CLI::App* rank = app.add_subcommand("rank");
+    addCommon(*rank, rankSettings.common);
+    addMillis(*rank, "--step-ms", rankSettings.stepTime);
+    addMillis(*rank, "--load-ms", rankSettings.loadTime);
     RelaySettings relaySettings;
     CLI::App* relay = app.add_subcommand("relay");
     relay->add_option("--listen", relaySettings.listen)->required();
@@ -83,6 +89,8 @@
         return runPlatform(platformSettings);
     if (*engine)
         return runEngine(engineSettings);
+    if (*rank)
+        return runRank(rankSettings);
     if (*relay)
         return runRelay(relaySettings);
     if (*service)
--- a/operator/command.h
+++ b/operator/command.h
@@ -13,11 +13,14 @@
     ShowRules,
     ShowInstances,
     ShowConfig,
+    ShowMaps,
     TakeZoneOut,
     ReturnZone,
     DrainEndpoint,
     ReturnEndpoint,
     RemoveEndpoint,
+    FreezeMap,
+    ResumeMap,
     Apply
 };
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -52,6 +52,16 @@
   done
 done
 
+ranks=()
+for rank in 0 1 2 3; do ranks+=(--ranks "127.0.0.1:$((19801 + rank * 10))"); done
+for rank in 0 1 2 3; do
+  port=$((19800 + rank * 10))
+  run "$fakes" rank --name "rank-$rank" --listen "127.0.0.1:$port" --record "$dir/$port.record"
+  run "$bin" rank --group experts --rank "$rank" --listen "127.0.0.1:$((port + 1))" --admin "127.0.0.1:$((port + 2))" \
+    --engine "127.0.0.1:$port" --platform 127.0.0.1:17000 --slots-per-rank 20 "${ranks[@]}" --log-level warning
+done
+objects+=', "config/group/experts": {"frozen": false}'
+
 echo "{\"objects\": {$objects}}" >"$dir/objects.json"
 "$bin" check-config "$dir/objects.json"
 for _ in $(seq 50); do
@@ -74,4 +84,5 @@
 wait "$callers"
 ctl show zones
 ctl show config version
+ctl show maps
 "$fakes" judge --told "$dir/told" $(printf -- '--record %s ' "$dir"/*.record) --closed "riga-2:$((out + 3000)):$back"
--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -109,9 +109,56 @@
         if (m_shape.relays)
             start("relay-" + name, { binary("orioletrail-fakes"), "relay", "--listen", local(portOf(name) + 3), "--target", local(portOf(name) + 1) });
     }
+    for (int rank = 0; rank < m_shape.ranks; ++rank) {
+        startRankEngine(rank);
+        startRank(rank);
+    }
     applyObjects();
 }
 
+void Cluster::startRankEngine(int rank)
+{
+    const std::string name = "engine-" + std::to_string(rank);
+    start(name, { binary("orioletrail-fakes"), "rank", "--name", name, "--listen", local(rankPort(rank)), "--record", recordOf(name), "--step-ms", "20", "--load-ms", "200" });
+}
+
+void Cluster::startRank(int rank)
+{
+    std::vector<std::string> arguments { binary("orioletrail"), "rank", "--group", "g", "--rank", std::to_string(rank), "--listen", local(rankPort(rank) + 1),
+        "--admin", local(rankPort(rank) + 2), "--engine", local(rankPort(rank)), "--platform", local(m_base), "--log-level", "error",
+        "--plan-interval", "500", "--step-timeout", "1000", "--slots-per-rank", "20" };
+    for (int peer = 0; peer < m_shape.ranks; ++peer)
+        arguments.insert(arguments.end(), { "--ranks", local(rankPort(peer) + 1) });
+    start("rank-" + std::to_string(rank), std::move(arguments));
+}
+
+int Cluster::rankPort(int rank) const
+{
+    return m_base + 120 + rank * 3;
+}
+
+std::optional<int> Cluster::groupLeader()
+{
+    const TimePoint until = Clock::now() + startTimeout;
+    while (Clock::now() < until) {
+        for (int rank = 0; rank < m_shape.ranks; ++rank)
+            if (call(local(rankPort(rank) + 2), "GET", "/metrics").body.find("orioletrail_group_leading 1") != std::string::npos)
+                return rank;
+        std::this_thread::sleep_for(poll);
+    }
+    return std::nullopt;
+}
+
+size_t Cluster::stepsOf(int rank) const
+{
+    std::ifstream file(recordOf("engine-" + std::to_string(rank)));
+    std::string line;
+    size_t steps = 0;
+    while (std::getline(file, line))
+        steps += line.find("\"step\"") != std::string::npos ? 1 : 0;
+    return steps;
+}
+
 Cluster::~Cluster()
 {
     m_processes.clear();
@@ -313,6 +360,8 @@
     settings.closed = m_closed;
     for (const std::string& name : endpoints())
         settings.records.push_back(recordOf(name));
+    for (int rank = 0; rank < m_shape.ranks; ++rank)
+        settings.records.push_back(recordOf("engine-" + std::to_string(rank)));
     fakes::Verdict verdict = fakes::judge(settings);
     if (!verdict.isClean() || refusedCount(verdict))
         fakes::runJudge(settings);
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -41,6 +41,8 @@
     // Instead of the limits of 4 and 16.
     std::vector<std::string> sidecarFlags;
     std::vector<std::string> serviceFlags;
+    // Ranks of one group, each with an engine of its own.
+    int ranks = 0;
 };
 
 struct CommandOutput {
@@ -62,6 +64,14 @@
     Process& entry(int zone) { return *m_processes.at("entry-" + std::to_string(zone)); }
     Process& sidecar(const std::string& endpoint) { return *m_processes.at("sidecar-" + endpoint); }
     Process& endpoint(const std::string& name) { return *m_processes.at("endpoint-" + name); }
+    void startRank(int rank);
+    void startRankEngine(int rank);
+    Process& rank(int number) { return *m_processes.at("rank-" + std::to_string(number)); }
+    Process& rankEngine(int number) { return *m_processes.at("engine-" + std::to_string(number)); }
+    // The rank that leads the group, or nothing if none says that it does within ten seconds.
+    std::optional<int> groupLeader();
+    // Steps recorded so far by one rank's engine.
+    size_t stepsOf(int rank) const;
     Process& sidecarRelay(const std::string& endpoint) { return *m_processes.at("relay-" + endpoint); }
     Process& platformRelay(int zone) { return *m_processes.at("relay-platform-" + std::to_string(zone)); }
 
@@ -103,6 +113,7 @@
 private:
     std::string recordOf(const std::string& name) const { return m_dir + "/" + name + ".record"; }
     int portOf(const std::string& endpoint) const;
+    int rankPort(int rank) const;
     void start(const std::string& name, std::vector<std::string> arguments);
     void applyObjects();
 
--- /dev/null
+++ b/tests/group-failure-test.cc
@@ -0,0 +1,126 @@
+// One map in every step, with real processes: map changes while leaders, ranks and the platform fail.
+#include "tests/cluster.h"
+
+#include <array>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace orioletrail;
+using namespace orioletrail::tests;
+
+namespace {
+
+constexpr int ranks = 4;
+
+ClusterShape groupShape()
+{
+    ClusterShape shape;
+    shape.zones = 1;
+    shape.engines = 0;
+    shape.services = 0;
+    shape.ranks = ranks;
+    return shape;
+}
+
+// True if every rank runs at least this many more steps within ten seconds.
+bool makesProgress(const Cluster& cluster, size_t steps)
+{
+    std::array<size_t, ranks> before {};
+    for (int rank = 0; rank < ranks; ++rank)
+        before[static_cast<size_t>(rank)] = cluster.stepsOf(rank);
+    const TimePoint until = Clock::now() + Millis(10'000);
+    for (int rank = 0; rank < ranks;) {
+        if (cluster.stepsOf(rank) >= before[static_cast<size_t>(rank)] + steps)
+            ++rank;
+        else if (Clock::now() > until)
+            return false;
+        else
+            std::this_thread::sleep_for(Millis(50));
+    }
+    return true;
+}
+
+} // namespace
+
+TEST_CASE("a group changes its map under load, and every step runs with one map")
+{
+    Cluster cluster(groupShape());
+    REQUIRE(cluster.groupLeader());
+    REQUIRE(makesProgress(cluster, 60));
+    const fakes::Verdict verdict = cluster.judge();
+    CHECK(verdict.isClean());
+    CHECK(verdict.maps >= 2);
+}
+
+TEST_CASE("a leader that is killed is replaced and the group goes on")
+{
+    Cluster cluster(groupShape());
+    const auto leader = cluster.groupLeader();
+    REQUIRE(leader);
+    REQUIRE(makesProgress(cluster, 10));
+    cluster.rank(*leader).signal(SIGKILL);
+    cluster.startRank(*leader);
+    REQUIRE(makesProgress(cluster, 10));
+    CHECK(cluster.judge().isClean());
+}
+
+TEST_CASE("a leader that is frozen past its lease and resumed runs no step beside its successor")
+{
+    Cluster cluster(groupShape());
+    const auto leader = cluster.groupLeader();
+    REQUIRE(leader);
+    REQUIRE(makesProgress(cluster, 10));
+    cluster.rank(*leader).signal(SIGSTOP);
+    std::this_thread::sleep_for(Millis(4000));
+    cluster.rank(*leader).signal(SIGCONT);
+    REQUIRE(makesProgress(cluster, 20));
+    CHECK(cluster.judge().isClean());
+}
+
+TEST_CASE("a rank and its engine that are replaced load the map again before the group goes on")
+{
+    Cluster cluster(groupShape());
+    REQUIRE(cluster.groupLeader());
+    REQUIRE(makesProgress(cluster, 10));
+    cluster.rank(3).signal(SIGKILL);
+    cluster.rankEngine(3).signal(SIGKILL);
+    cluster.startRankEngine(3);
+    cluster.startRank(3);
+    REQUIRE(makesProgress(cluster, 10));
+    CHECK(cluster.judge().isClean());
+}
+
+TEST_CASE("a rank that is frozen holds the group only while it is frozen")
+{
+    Cluster cluster(groupShape());
+    REQUIRE(cluster.groupLeader());
+    REQUIRE(makesProgress(cluster, 10));
+    cluster.rank(3).signal(SIGSTOP);
+    std::this_thread::sleep_for(Millis(2500));
+    cluster.rank(3).signal(SIGCONT);
+    REQUIRE(makesProgress(cluster, 10));
+    CHECK(cluster.judge().isClean());
+}
+
+TEST_CASE("in a platform outage the group goes on with its map")
+{
+    Cluster cluster(groupShape());
+    REQUIRE(cluster.groupLeader());
+    REQUIRE(makesProgress(cluster, 10));
+    cluster.fault("platform", "down");
+    std::this_thread::sleep_for(Millis(3000));
+    REQUIRE(makesProgress(cluster, 20));
+    cluster.fault("platform", "none");
+    REQUIRE(makesProgress(cluster, 40));
+    CHECK(cluster.judge().isClean());
+}
+
+TEST_CASE("answers lost by the platform make no second map of one version")
+{
+    Cluster cluster(groupShape());
+    REQUIRE(cluster.groupLeader());
+    cluster.fault("platform", "drop", 0, 40);
+    REQUIRE(makesProgress(cluster, 60));
+    CHECK(cluster.judge().isClean());
+}
--- a/transport/codec.cc
+++ b/transport/codec.cc
@@ -113,6 +113,24 @@
     return f(x.name, x.zone, x.ageMs, x.delta);
 }
 
+template <class Inspector>
+typename Inspector::result_type inspect(Inspector& f, GroupHello& x)
+{
+    return f(x.group, x.rank);
+}
+
+template <class Inspector>
+typename Inspector::result_type inspect(Inspector& f, StepId& x)
+{
+    return f(x.token, x.number);
+}
+
+template <class Inspector>
+typename Inspector::result_type inspect(Inspector& f, GroupMessage& x)
+{
+    return f(x.kind, x.rank, x.rankStart, x.step, x.version, x.loaded, x.map);
+}
+
 namespace detail {
 
     template <size_t Kind = 0>
@@ -137,6 +155,8 @@
     {
         if (const Frame* frame = std::get_if<Frame>(&message))
             return frame->kind <= FrameKind::Failed && frame->outcome <= Outcome::MayHaveRun && frame->reason < Reason::Count;
+        if (const GroupMessage* group = std::get_if<GroupMessage>(&message))
+            return group->kind <= GroupMessageKind::Superseded;
         const Ping* ping = std::get_if<Ping>(&message);
         return !ping || ping->closed < Reason::Count;
     }
--- a/transport/message.h
+++ b/transport/message.h
@@ -3,6 +3,7 @@
 
 #include "base/types.h"
 #include "config/store.h"
+#include "expertmap/group.h"
 
 #include <variant>
 
@@ -138,7 +139,13 @@
     ConfigDelta delta;
 };
 
+// First message of a group's leader on a connection to a rank.
+struct GroupHello {
+    std::string group;
+    uint32_t rank = 0;
+};
+
 using Message = std::variant<Hello, Welcome, Open, Cancel, Frame, Ack, Resume, Grant, Want, Return, Recall, Ping,
-    ConfigDelta, PoisonReport, GossipRequest, GossipReply>;
+    ConfigDelta, PoisonReport, GossipRequest, GossipReply, GroupHello, GroupMessage>;
 
 } // namespace orioletrail
