Account for refusals by minute, explain requests, and share a full service

Cause: operators answer for each minute of refusals and could only read counters. Under overload, the fair share was applied at 80% of capacity to any account above an equal share, though the others left theirs unused: with 102 callers on a capacity of 96, 13234 requests of the large account and 3 of the small one were refused.

Ruled out: a lack of credits; the endpoints were under-used.

An account above its share is refused only while the service has no room, and accounts below theirs then wait for the next free place.

--- a/admission/fairness-test.cc
+++ b/admission/fairness-test.cc
@@ -27,6 +27,15 @@
     CHECK(fairness.admit({ "small", "s", 1000, 1, 10 }) == Reason::FairShare);
 }
 
+TEST_CASE("an account may exceed its share while there is room")
+{
+    FairShare fairness;
+    CHECK(fairness.admit({ "small", "s", 1000, 1, 10 }) == Reason::None);
+    for (int i = 0; i < 9; ++i)
+        CHECK(fairness.admit({ "large", "s", 1000, 1, 10 }) == Reason::None);
+    CHECK(fairness.admit({ "large", "s", 1000, 1, 10 }) == Reason::FairShare);
+}
+
 TEST_CASE("an account that is alone may use everything")
 {
     FairShare fairness;
--- a/admission/fairness.cc
+++ b/admission/fairness.cc
@@ -6,9 +6,6 @@
 
 namespace detail {
 
-    // Equal shares apply when this share of a service's capacity is in use.
-    constexpr double crowdedAt = 0.8;
-
     template <class Counts>
     void subtractOne(Counts& counts, std::string_view account)
     {
@@ -42,7 +39,7 @@
     const ServiceUse& use = service->second;
     const uint32_t used = countOf(use.byAccount, request.account);
     const auto active = static_cast<uint32_t>(use.byAccount.size() + (used ? 0 : 1));
-    const bool crowded = use.total >= detail::crowdedAt * request.capacity;
+    const bool crowded = use.total >= request.capacity;
     // An account that is alone takes nothing from others.
     return crowded && active > 1 && used >= std::max(1U, request.capacity / active);
 }
--- a/admission/fairness.h
+++ b/admission/fairness.h
@@ -19,7 +19,8 @@
 };
 
 // Counts requests in flight by account. An account may use up to its limit divided among the
-// live entries; when a service is crowded, up to an equal share among the accounts that use it.
+// live entries. While the service has room, that is all; when it has none, an account that has
+// an equal share among those that use the service gets no more, and the others may wait.
 class FairShare {
 public:
     // Decides on one request and counts it as in flight if the result is None.
--- a/bench/main.cc
+++ b/bench/main.cc
@@ -11,6 +11,7 @@
     CLI::App* path = app.add_subcommand("path", "the whole path against direct calls");
     CLI::App* hop = app.add_subcommand("hop", "nng against framed connections");
     CLI::App* ledger = app.add_subcommand("ledger", "ways to claim idempotency keys");
+    CLI::App* overload = app.add_subcommand("overload", "useful work and refusals under overload");
     CLI::App* capacity = app.add_subcommand("capacity", "cost of control by role and size");
     CLI11_PARSE(app, argc, argv);
     using namespace orioletrail::bench;
@@ -22,5 +23,7 @@
         return runHop();
     if (*ledger)
         return runLedger();
+    if (*overload)
+        return runOverload();
     return *capacity ? runCapacity() : 1;
 }
--- a/entry/admin.cc
+++ b/entry/admin.cc
@@ -1,9 +1,12 @@
 // The operators' port of an entry. Everything here runs on the control thread.
 #include "entry/state.h"
 
+#include <array>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
+#include <ctime>
 #include <random>
 
 namespace orioletrail {
@@ -50,6 +53,18 @@
         co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
     }
 
+    // A minute since 1970 as UTC, such as 2026-01-31T06:05Z.
+    std::string formatMinute(int64_t minute)
+    {
+        constexpr int64_t secondsPerMinute = 60;
+        const time_t seconds = minute * secondsPerMinute;
+        std::tm parts {};
+        gmtime_r(&seconds, &parts);
+        std::array<char, 32> text {};
+        const size_t length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%MZ", &parts);
+        return { text.data(), length };
+    }
+
     CommandResult failed(CommandStatus status, std::string message)
     {
         return { status, std::move(message), {} };
@@ -102,6 +117,10 @@
         return setFlag("config/group/" + command.name, "frozen", true);
     case CommandKind::ResumeMap:
         return setFlag("config/group/" + command.name, "frozen", false);
+    case CommandKind::ShowRefusals:
+        return askTraffic([this] { return showRefusals(); });
+    case CommandKind::ExplainRequest:
+        return askTraffic([this, name = command.name] { return explainRequest(name); });
     case CommandKind::ShowMaps:
         return showMaps();
     case CommandKind::Apply:
@@ -196,6 +215,43 @@
     co_return CommandResult { CommandStatus::Done, key + " removed at revision " + std::to_string(reply.revision), {} };
 }
 
+Task<CommandResult> Entry::State::askTraffic(std::function<CommandResult()> question)
+{
+    auto answer = std::make_shared<std::optional<CommandResult>>();
+    boost::asio::post(traffic, [this, question = std::move(question), answer] {
+        boost::asio::post(controlIo, [answer, result = question()]() mutable { *answer = std::move(result); });
+    });
+    while (!*answer)
+        co_await detail::pauseFor(detail::inForcePause);
+    co_return std::move(**answer);
+}
+
+CommandResult Entry::State::explainRequest(const std::string& requestId) const
+{
+    const RequestNote* note = history.find(requestId);
+    if (!note)
+        return detail::failed(CommandStatus::NotFound, "this entry does not remember request \"" + requestId + '"');
+    CommandResult result;
+    result.message = "request " + requestId + " of " + note->account + " to " + note->service + (note->idempotent ? ", idempotent" : ", non-idempotent")
+        + ": status " + std::to_string(note->status) + ", " + std::string(outcomeName(note->outcome)) + ", " + std::string(reasonName(note->reason));
+    result.rows.push_back({ "attempt", "endpoint", "run", "reason", "ended after ms" });
+    for (const AttemptNote& attempt : note->attempts)
+        result.rows.push_back({ format(attempt.id), attempt.endpoint, std::string(outcomeName(attempt.outcome)),
+            std::string(reasonName(attempt.reason)), std::to_string(attempt.endedAfter.count()) });
+    return result;
+}
+
+CommandResult Entry::State::showRefusals() const
+{
+    CommandResult result;
+    result.message = std::to_string(refusals.minutesWithRefusals()) + " minutes with refusals by the system at " + settings.name + " in the last day";
+    result.rows.push_back({ "minute", "service", "reason", "run", "refused", "answered" });
+    for (const RefusalCount& count : refusals.counts())
+        result.rows.push_back({ detail::formatMinute(count.minute), count.service.empty() ? "-" : count.service, std::string(reasonName(count.reason)),
+            std::string(outcomeName(count.outcome)), std::to_string(count.count), std::to_string(refusals.answers(count.minute, count.service)) });
+    return result;
+}
+
 Task<CommandResult> Entry::State::showMaps()
 {
     const std::optional<ConfigDelta> stored = co_await platform.list("map/", 0, Millis(0));
--- a/entry/request.cc
+++ b/entry/request.cc
@@ -47,6 +47,11 @@
         }
     }
 
+    int64_t unixMinute()
+    {
+        return std::chrono::duration_cast<std::chrono::minutes>(std::chrono::system_clock::now().time_since_epoch()).count();
+    }
+
     std::string_view adviceFor(const Refusal& refusal)
     {
         if (refusal.outcome == Outcome::MayHaveRun)
@@ -90,8 +95,19 @@
     const bool usable = !given.empty() && given.size() <= detail::maxRequestIdBytes && detail::isPrintable(given);
     job.requestId = usable ? std::string(given) : format(AttemptId { startNumber, job.number, 0 });
     metrics.count("orioletrail_requests_total");
+    const TimePoint received = job.received;
     co_await serve(request, responder, job);
-    metrics.observe("orioletrail_request_seconds", Clock::now() - job.received);
+    remember(std::move(job));
+    metrics.observe("orioletrail_request_seconds", Clock::now() - received);
+}
+
+void Entry::State::remember(Job&& job)
+{
+    job.note.requestId = std::move(job.requestId);
+    job.note.account = std::move(job.account);
+    job.note.service = std::move(job.service);
+    job.note.idempotent = job.idempotent;
+    history.add(std::move(job.note));
 }
 
 // A process that was frozen learns what is in force within moments of its resumption.
@@ -258,6 +274,9 @@
     }
     if (job.begun) {
         metrics.countRefusal(result.reason, Outcome::MayHaveRun);
+        refusals.onRefusal(detail::unixMinute(), job.service, result.reason, Outcome::MayHaveRun);
+        job.note.reason = result.reason;
+        job.note.outcome = Outcome::MayHaveRun;
         metrics.count("orioletrail_broken_streams_total");
         co_await responder.chunk("event: error\ndata: {\"error\":{\"message\":\"the answer is incomplete\",\"reason\":\"" + std::string(reasonName(result.reason)) + "\"}}\n\n");
         responder.abort();
@@ -395,6 +414,7 @@
 Task<AttemptResult> Entry::State::passOn(Responder& responder, Job& job, HttpAnswer begun)
 {
     job.begun = true;
+    job.note.status = begun.status;
     co_await responder.begin(begun.status, begun.headers);
     uint64_t bytes = begun.body.size();
     std::string data = std::move(begun.body);
@@ -436,6 +456,7 @@
         if (frame->kind == FrameKind::End) {
             if (frame->value != answer.body.size())
                 co_return AttemptResult { Outcome::MayHaveRun, Reason::Truncated };
+            job.note.status = answer.status;
             co_await responder.respond(answer);
             co_return AttemptResult { Outcome::Answered, Reason::None };
         }
@@ -471,8 +492,12 @@
 
 void Entry::State::onAttemptEnded(Job& job, const AttemptResult& result)
 {
+    job.note.attempts.push_back({ job.attempt, job.tried.back(), result.outcome, result.reason,
+        std::chrono::duration_cast<Millis>(Clock::now() - job.received) });
     job.mayHaveRun = job.mayHaveRun || result.outcome == Outcome::MayHaveRun;
     if (result.outcome == Outcome::Answered) {
+        job.note.outcome = Outcome::Answered;
+        refusals.onAnswer(detail::unixMinute(), job.service);
         budget.onSuccess(job.account);
         if (poison.size())
             poison.onCompleted(job.digest);
@@ -488,9 +513,13 @@
         log(LogLevel::Debug, "attempt ended", { { "request", job.requestId }, { "attempt", format(job.attempt) }, { "run", std::string(outcomeName(result.outcome)) }, { "reason", std::string(reasonName(result.reason)) } });
 }
 
-Task<> Entry::State::refuse(Responder& responder, const Job& job, const Refusal& refusal)
+Task<> Entry::State::refuse(Responder& responder, Job& job, const Refusal& refusal)
 {
+    job.note.status = refusal.status;
+    job.note.reason = refusal.reason;
+    job.note.outcome = refusal.outcome;
     metrics.countRefusal(refusal.reason, refusal.outcome);
+    refusals.onRefusal(detail::unixMinute(), job.service, refusal.reason, refusal.outcome);
     if (isLogged(LogLevel::Info))
         log(LogLevel::Info, "request refused", { { "request", job.requestId }, { "account", job.account }, { "service", job.service }, { "reason", std::string(reasonName(refusal.reason)) }, { "run", std::string(outcomeName(refusal.outcome)) } });
     co_await responder.respond(refusalAnswer(job.requestId, refusal));
--- a/entry/state.h
+++ b/entry/state.h
@@ -5,6 +5,8 @@
 #include "entry/entry.h"
 #include "entry/link.h"
 #include "operator/command.h"
+#include "telemetry/history.h"
+#include "telemetry/refusals.h"
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
@@ -36,6 +38,8 @@
     // The sidecar's answer has reached the caller in part.
     bool begun = false;
     std::vector<std::string> tried;
+    // For operators who ask about the request.
+    RequestNote note;
     // The attempt under way.
     std::shared_ptr<Link> link;
     AttemptId attempt;
@@ -82,7 +86,8 @@
     Task<AttemptResult> collect(Responder&, Job&, HttpAnswer);
     bool mayRetry(const Job&, const AttemptResult&);
     void onAttemptEnded(Job&, const AttemptResult&);
-    Task<> refuse(Responder&, const Job&, const Refusal&);
+    Task<> refuse(Responder&, Job&, const Refusal&);
+    void remember(Job&&);
     HttpAnswer refusalAnswer(std::string_view requestId, const Refusal&);
 
     // Links to sidecars.
@@ -105,6 +110,10 @@
     Task<CommandResult> removeObject(std::string key);
     Task<CommandResult> showRevisions();
     Task<CommandResult> showMaps();
+    // Asks the traffic thread for something that it owns.
+    Task<CommandResult> askTraffic(std::function<CommandResult()>);
+    CommandResult explainRequest(const std::string& requestId) const;
+    CommandResult showRefusals() const;
     Task<> waitUntilInForce(uint64_t revision);
 
     void shutDown();
@@ -130,6 +139,8 @@
     // Configuration revisions of sidecars by their heartbeats, 0 if not connected; the control thread's copy.
     std::map<std::string, uint64_t> sidecarRevisions;
     TimePoint nextGauges;
+    RefusalMinutes refusals;
+    RequestHistory history { 4'000 };
     // Requests that wait for a credit, by service.
     std::map<std::string, uint32_t, std::less<>> waiting;
     size_t waitingTotal = 0;
--- a/fakes/main.cc
+++ b/fakes/main.cc
@@ -60,10 +60,10 @@
     CallerSettings callerSettings;
     CLI::App* caller = app.add_subcommand("caller");
     caller->add_option("--entry", callerSettings.entries)->required();
-    caller->add_option("--token", callerSettings.token);
-    caller->add_option("--told", callerSettings.told);
+    caller->add_option("--token", callerSettings.token)->take_last();
+    caller->add_option("--told", callerSettings.told)->take_last();
     caller->add_option("--callers", callerSettings.callers)->take_last();
-    caller->add_option("--seed", callerSettings.seed);
+    caller->add_option("--seed", callerSettings.seed)->take_last();
     caller->add_option("--orders", callerSettings.orders);
     caller->add_option("--lookups", callerSettings.lookups);
     addMillis(*caller, "--duration-ms", callerSettings.duration);
--- a/operator/command-test.cc
+++ b/operator/command-test.cc
@@ -12,6 +12,7 @@
     REQUIRE(take);
     CHECK(take->kind == CommandKind::TakeZoneOut);
     CHECK(take->name == "riga-2");
+    CHECK(parseCommand("explain request r-1", reason)->name == "r-1");
     CHECK(parseCommand("freeze map g", reason)->name == "g");
     CHECK(parseCommand("return zone riga-2", reason)->kind == CommandKind::ReturnZone);
 }
--- a/operator/command.cc
+++ b/operator/command.cc
@@ -40,6 +40,8 @@
         { "show instances", CommandKind::ShowInstances },
         { "show config version", CommandKind::ShowConfig },
         { "show maps", CommandKind::ShowMaps },
+        { "show refusals", CommandKind::ShowRefusals },
+        { "explain request NAME", CommandKind::ExplainRequest },
         { "freeze map NAME", CommandKind::FreezeMap },
         { "resume map NAME", CommandKind::ResumeMap },
         { "take zone NAME out", CommandKind::TakeZoneOut },
--- a/operator/command.h
+++ b/operator/command.h
@@ -14,6 +14,8 @@
     ShowInstances,
     ShowConfig,
     ShowMaps,
+    ShowRefusals,
+    ExplainRequest,
     TakeZoneOut,
     ReturnZone,
     DrainEndpoint,
--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -22,6 +22,8 @@
 namespace {
 
     const std::string token = "test-token";
+    // Of a second account.
+    const std::string smallToken = "small-token";
     constexpr Millis poll { 20 };
     constexpr Millis startTimeout { 10'000 };
 
@@ -255,6 +257,7 @@
 {
     boost::json::object objects;
     objects["config/account/test"] = { { "tokenDigest", sha256Hex(token) }, { "maxInFlight", 600 } };
+    objects["config/account/small"] = { { "tokenDigest", sha256Hex(smallToken) }, { "maxInFlight", 600 } };
     objects["config/service/labels"] = { { "kind", "model" } };
     objects["config/service/print"] = { { "kind", "plain" } };
     objects["config/rule/lookup"] = { { "service", "print" }, { "method", "GET" }, { "idempotent", true } };
@@ -294,7 +297,8 @@
     HttpClient client(context.get_executor(), parsed->first, parsed->second);
     HttpCall call;
     call.request = { std::move(method), std::move(target), std::move(headers), std::move(body) };
-    call.request.headers.emplace_back("X-Request-Id", "t" + std::to_string(++m_requests));
+    if (call.request.header("X-Request-Id").empty())
+        call.request.headers.emplace_back("X-Request-Id", "t" + std::to_string(++m_requests));
     if (call.request.header("Authorization").empty())
         call.request.headers.emplace_back("Authorization", "Bearer " + token);
     call.timeout = Millis(20'000);
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -99,6 +99,9 @@
     // Starts callers that send to all entries, or to the given ones.
     std::unique_ptr<Process> startCallers(Millis duration, std::vector<std::string> flags = {}, std::vector<int> zones = {});
 
+    // A file of this cluster's own, removed with it.
+    std::string path(const std::string& name) const { return m_dir + "/" + name; }
+
     // No endpoint whose name has the prefix may have been given work between the times.
     void expectClosed(std::string prefix, int64_t from, int64_t to) { m_closed.push_back({ std::move(prefix), from, to }); }
 
--- a/tests/input-test.cc
+++ b/tests/input-test.cc
@@ -65,6 +65,22 @@
     CHECK(cluster.call(entry, "GET", "/services/print/orders/1").status == 200);
 }
 
+TEST_CASE("operators can ask what became of a request and when refusals were")
+{
+    Cluster cluster({ 1, 1, 1, false, {}, {}, {} });
+    REQUIRE(cluster.waitReady());
+    const HeaderList id { { "X-Request-Id", "mine" } };
+    cluster.fault("z1-s1", "lose", 0, 1);
+    CHECK(cluster.call(cluster.entryAddress(1), "POST", "/services/print/orders", "a", id).status == 502);
+    const CommandOutput explained = cluster.ctl("explain request mine");
+    CHECK(explained.text.find("non-idempotent: status 502, may-have-run, endpoint-cut") != std::string::npos);
+    CHECK(explained.text.find("z1-s1") != std::string::npos);
+    CHECK(cluster.ctl("explain request other").status == 3);
+    const CommandOutput refusals = cluster.ctl("show refusals");
+    CHECK(refusals.text.find("1 minutes with refusals by the system") != std::string::npos);
+    CHECK(refusals.text.find("endpoint-cut") != std::string::npos);
+}
+
 TEST_CASE("operators' mistakes change nothing and have their own exit codes")
 {
     Cluster cluster({ 1, 1, 1, false, {}, {}, {} });
