--- a/gateway/client.cc
+++ b/gateway/client.cc
@@ -6,6 +6,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace orioletrail {
 
@@ -31,6 +34,20 @@
 
     using StreamPtr = std::shared_ptr<PooledStream>;
 
+    // Has the kernel end a connection whose other end has not been heard of for about four
+    // seconds, though a call on it may take longer.
+    void detectSilence(int socket)
+    {
+        constexpr int idleSeconds = 1;
+        constexpr int intervalSeconds = 1;
+        constexpr int probes = 3;
+        constexpr int on = 1;
+        setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+        setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &idleSeconds, sizeof idleSeconds);
+        setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &intervalSeconds, sizeof intervalSeconds);
+        setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+    }
+
     HttpFailure failureOf(const error_code& error, const std::shared_ptr<HttpCallToken>& token)
     {
         if (token && token->isCancelled())
@@ -77,8 +94,10 @@
         auto stream = std::make_shared<detail::PooledStream>(m_executor);
         stream->m_stream.expires_after(timeout);
         co_await stream->m_stream.async_connect(m_endpoint, asio::redirect_error(asio::use_awaitable, error));
-        if (!error)
+        if (!error) {
             stream->m_stream.socket().set_option(tcp::no_delay(true), error);
+            detail::detectSilence(stream->m_stream.socket().native_handle());
+        }
         co_return stream;
     }
 
--- a/rank/leader.cc
+++ b/rank/leader.cc
@@ -1,6 +1,7 @@
 #include "rank/leader.h"
 
 #include "telemetry/log.h"
+#include "transport/heartbeat.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -45,15 +46,30 @@
 
 void LeaderDriver::tick(TimePoint now)
 {
-    for (uint32_t rank = 0; rank < m_members.size(); ++rank)
+    for (uint32_t rank = 0; rank < m_members.size(); ++rank) {
+        watchMember(m_members[rank], now);
         if (!m_members[rank].connection && !m_members[rank].connecting && now >= m_members[rank].nextConnect)
             connect(rank, now);
+    }
     watchPhase(now);
     planIfDue(now);
     if (now >= m_nextSend)
         sendAll(now);
 }
 
+void LeaderDriver::watchMember(Member& member, TimePoint now)
+{
+    if (member.connection && now - member.connection->lastReceived() > idleHeartbeatInterval + heartbeatTimeout) {
+        m_metrics.count("orioletrail_silent_connections_total");
+        const auto silent = member.connection;
+        silent->close("silent");
+    }
+    if (member.connection && now - member.lastPing >= heartbeatInterval) {
+        member.lastPing = now;
+        member.connection->send(Ping {});
+    }
+}
+
 void LeaderDriver::connect(uint32_t rank, TimePoint now)
 {
     const auto address = parseAddress(m_settings.ranks[rank]);
--- a/rank/leader.h
+++ b/rank/leader.h
@@ -36,10 +36,12 @@
     struct Member {
         std::shared_ptr<Connection> connection;
         bool connecting = false;
+        TimePoint lastPing;
         TimePoint nextConnect;
     };
 
     void connect(uint32_t rank, TimePoint);
+    void watchMember(Member&, TimePoint);
     void receive(GroupMessage&&);
     void sendAll(TimePoint);
     void watchPhase(TimePoint);
--- a/rank/rank.cc
+++ b/rank/rank.cc
@@ -188,6 +188,8 @@
             connection->close("another rank answers here");
         return;
     }
+    if (std::holds_alternative<Ping>(message))
+        connection->send(message);
     auto* group = std::get_if<GroupMessage>(&message);
     if (!group || !member)
         return;
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,4 +4,5 @@
 cd "$(dirname "$0")/.."
 scripts/build.sh
 scripts/lint.sh
-ctest --test-dir build --output-on-failure -j 3
+ctest --test-dir build --output-on-failure -j 4
+scripts/check-faults.sh
--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -108,12 +108,16 @@
     for (const std::string& name : endpoints()) {
         startEndpoint(name);
         startSidecar(name);
+        if (m_shape.relays)
+            start("relay-endpoint-" + name, { binary("orioletrail-fakes"), "relay", "--listen", local(portOf(name) + 4), "--target", local(portOf(name)) });
         if (m_shape.relays)
             start("relay-" + name, { binary("orioletrail-fakes"), "relay", "--listen", local(portOf(name) + 3), "--target", local(portOf(name) + 1) });
     }
     for (int rank = 0; rank < m_shape.ranks; ++rank) {
         startRankEngine(rank);
         startRank(rank);
+        if (m_shape.relays)
+            start("relay-rank-" + std::to_string(rank), { binary("orioletrail-fakes"), "relay", "--listen", local(rankPort(rank) + 3), "--target", local(rankPort(rank) + 1) });
     }
     applyObjects();
 }
@@ -130,13 +134,13 @@
         "--admin", local(rankPort(rank) + 2), "--engine", local(rankPort(rank)), "--platform", local(m_base), "--log-level", "error",
         "--plan-interval", "500", "--step-timeout", "1000", "--slots-per-rank", "20" };
     for (int peer = 0; peer < m_shape.ranks; ++peer)
-        arguments.insert(arguments.end(), { "--ranks", local(rankPort(peer) + 1) });
+        arguments.insert(arguments.end(), { "--ranks", local(rankPort(peer) + (m_shape.relays ? 3 : 1)) });
     start("rank-" + std::to_string(rank), std::move(arguments));
 }
 
 int Cluster::rankPort(int rank) const
 {
-    return m_base + 120 + rank * 3;
+    return m_base + 120 + rank * 4;
 }
 
 std::optional<int> Cluster::groupLeader()
@@ -234,7 +238,7 @@
 {
     const int port = portOf(endpoint);
     std::vector<std::string> arguments { binary("orioletrail"), "sidecar", "--name", endpoint, "--service", isModel(endpoint) ? "labels" : "print",
-        "--zone", endpoint.substr(0, endpoint.find('-')), "--listen", local(port + 1), "--admin", local(port + 2), "--endpoint", local(port),
+        "--zone", endpoint.substr(0, endpoint.find('-')), "--listen", local(port + 1), "--admin", local(port + 2), "--endpoint", local(m_shape.relays ? port + 4 : port),
         "--platform", local(m_base), "--log-level", "error" };
     const std::vector<std::string> limits { "--cold-limit", "4", "--warm-limit", "16" };
     const std::vector<std::string>& flags = m_shape.sidecarFlags.empty() ? limits : m_shape.sidecarFlags;
@@ -261,6 +265,8 @@
     objects["config/service/labels"] = { { "kind", "model" } };
     objects["config/service/print"] = { { "kind", "plain" } };
     objects["config/rule/lookup"] = { { "service", "print" }, { "method", "GET" }, { "idempotent", true } };
+    if (m_shape.ranks)
+        objects["config/group/g"] = { { "frozen", false } };
     for (int zone = 1; zone <= m_shape.zones; ++zone) {
         const std::string name = std::to_string(zone);
         objects["config/zone/z" + name] = { { "out", false } };
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -35,7 +35,7 @@
     // For each zone.
     int engines = 2;
     int services = 1;
-    // Put a relay before each sidecar, and before the platform for each entry.
+    // Put a relay before each sidecar and each endpoint, and before the platform for each entry.
     bool relays = false;
     std::vector<std::string> engineFlags;
     // Instead of the limits of 4 and 16.
@@ -67,12 +67,15 @@
     void startRank(int rank);
     void startRankEngine(int rank);
     Process& rank(int number) { return *m_processes.at("rank-" + std::to_string(number)); }
+    // Only in a cluster with relays.
+    Process& rankRelay(int number) { return *m_processes.at("relay-rank-" + std::to_string(number)); }
     Process& rankEngine(int number) { return *m_processes.at("engine-" + std::to_string(number)); }
     // The rank that leads the group, or nothing if none says that it does within ten seconds.
     std::optional<int> groupLeader();
     // Steps recorded so far by one rank's engine.
     size_t stepsOf(int rank) const;
     Process& sidecarRelay(const std::string& endpoint) { return *m_processes.at("relay-" + endpoint); }
+    Process& endpointRelay(const std::string& name) { return *m_processes.at("relay-endpoint-" + name); }
     Process& platformRelay(int zone) { return *m_processes.at("relay-platform-" + std::to_string(zone)); }
 
     // True once every entry is ready, or false after ten seconds.
--- a/tests/group-failure-test.cc
+++ b/tests/group-failure-test.cc
@@ -103,6 +103,36 @@
     CHECK(cluster.judge().isClean());
 }
 
+TEST_CASE("connections to ranks that go silent are replaced and the group goes on")
+{
+    ClusterShape shape = groupShape();
+    shape.relays = true;
+    Cluster cluster(shape);
+    REQUIRE(cluster.groupLeader());
+    REQUIRE(makesProgress(cluster, 10));
+    for (int rank = 0; rank < ranks; ++rank)
+        cluster.rankRelay(rank).signal(SIGUSR1);
+    REQUIRE(makesProgress(cluster, 10));
+    CHECK(cluster.judge().isClean());
+}
+
+TEST_CASE("a frozen map stays until operators resume it")
+{
+    Cluster cluster(groupShape());
+    REQUIRE(cluster.groupLeader());
+    REQUIRE(makesProgress(cluster, 20));
+    REQUIRE(cluster.ctl("freeze map g").status == 0);
+    std::this_thread::sleep_for(Millis(2500));
+    const std::string frozen = cluster.ctl("show maps").text;
+    CHECK(frozen.find("yes") != std::string::npos);
+    REQUIRE(makesProgress(cluster, 20));
+    CHECK(cluster.ctl("show maps").text == frozen);
+    REQUIRE(cluster.ctl("resume map g").status == 0);
+    REQUIRE(makesProgress(cluster, 60));
+    CHECK(cluster.ctl("show maps").text != frozen);
+    CHECK(cluster.judge().isClean());
+}
+
 TEST_CASE("in a platform outage the group goes on with its map")
 {
     Cluster cluster(groupShape());
--- a/tests/network-failure-test.cc
+++ b/tests/network-failure-test.cc
@@ -43,6 +43,25 @@
     CHECK(refusedCount(verdict) == 0);
 }
 
+TEST_CASE("an order on a connection that goes silent behind the sidecar may have run, and runs once")
+{
+    Cluster cluster({ 1, 1, 1, true, {}, {}, {} });
+    REQUIRE(cluster.waitReady());
+    const HeaderList headers { { "Idempotency-Key", "k1" }, { "X-Deadline-Ms", "1500" } };
+    cluster.fault("z1-s1", "slow", 500, 1);
+    HttpResult result;
+    std::thread caller([&] { result = cluster.call(cluster.entryAddress(1), "POST", "/services/print/orders", "a", headers); });
+    std::this_thread::sleep_for(Millis(250));
+    cluster.endpointRelay("z1-s1").signal(SIGUSR1);
+    caller.join();
+    CHECK(result.status == 504);
+    CHECK(result.body.find("\"run\":\"may-have-run\"") != std::string::npos);
+    const HttpResult repeat = cluster.call(cluster.entryAddress(1), "POST", "/services/print/orders", "a", { { "Idempotency-Key", "k1" } });
+    CHECK(repeat.status == 409);
+    CHECK(cluster.runsOf("z1-s1") == 1);
+    CHECK(cluster.call(cluster.entryAddress(1), "GET", "/services/print/orders/1").status == 200);
+}
+
 TEST_CASE("a frozen entry that resumes gets the answers to its own requests")
 {
     Cluster cluster;
