--- a/cmd/main.cc
+++ b/cmd/main.cc
@@ -111,7 +111,8 @@
         addMillis(app, "--step-timeout", settings.stepTimeout, 100, 600'000, "time after which a step without an answer is given up");
         addMillis(app, "--prepare-timeout", settings.prepareTimeout, 100, 3'600'000, "time after which loading a map is given up");
         addMillis(app, "--platform-timeout", settings.platformTimeout, 10, 60'000, "timeout of a call to the platform");
-        addMillis(app, "--lease-timeout", settings.lease.timeout, 500, 600'000, "time after which a lease that is not renewed is taken over");
+        addMillis(app, "--lease-timeout", settings.lease.timeout, 500, 600'000, "time after which a leader that is not heard of is replaced");
+        addMillis(app, "--freeze-poll", settings.freezePoll, 100, 60'000, "time between looks whether the map is frozen");
     }
 
     template <class Daemon, class Settings>
--- a/expertmap/lease-test.cc
+++ b/expertmap/lease-test.cc
@@ -11,32 +11,51 @@
 TEST_CASE("a lease survives its stored form, and other texts are refused")
 {
     std::string reason;
-    const LeaseRecord record { 3, 0xffffffffffffffff, 9 };
+    const LeaseRecord record { 3, 0xffffffffffffffff };
     CHECK(parseLeaseRecord(toJson(record), reason) == record);
     CHECK_FALSE(parseLeaseRecord("{}", reason));
     CHECK_FALSE(parseLeaseRecord("", reason));
 }
 
-TEST_CASE("a lease that is renewed is not taken over, and one that is not is")
+TEST_CASE("a leader that is heard is left alone without a call, and a silent one is replaced")
 {
     LeaseCandidate candidate(7);
     TimePoint now(std::chrono::hours(1));
-    for (uint64_t beat = 1; beat < 20; ++beat) {
+    REQUIRE(candidate.tick(now).read);
+    CHECK_FALSE(candidate.onRead({ 1, 5 }, 19, now).write);
+    for (int i = 0; i < 50; ++i) {
         now += Millis(500);
-        REQUIRE(candidate.tick(now).read);
-        CHECK_FALSE(candidate.onRead({ 1, 5, beat }, beat, now).write);
+        candidate.onLeaderHeard(now);
+        CHECK_FALSE(candidate.tick(now).read);
     }
     std::optional<LeaseWrite> write;
     for (int i = 0; i < 5 && !write; ++i) {
         now += Millis(500);
-        REQUIRE(candidate.tick(now).read);
-        write = candidate.onRead({ 1, 5, 19 }, 19, now).write;
+        if (candidate.tick(now).read)
+            write = candidate.onRead({ 1, 5 }, 19, now).write;
     }
     REQUIRE(write);
     CHECK(write->record.token == 2);
     CHECK(write->expected == 19);
     candidate.onWritten(20, now);
     CHECK(candidate.token() == 2);
+    now += std::chrono::hours(1);
+    CHECK_FALSE(candidate.tick(now).read);
+}
+
+TEST_CASE("a holder that was superseded looks again")
+{
+    LeaseCandidate candidate(7);
+    const TimePoint now(std::chrono::hours(1));
+    candidate.tick(now);
+    REQUIRE(candidate.onRead({}, 0, now).write);
+    candidate.onWritten(1, now);
+    CHECK(candidate.token() == 1);
+    candidate.onUnresolved(now);
+    const TimePoint later = now + Millis(600);
+    REQUIRE(candidate.tick(later).read);
+    CHECK_FALSE(candidate.onRead({ 2, 8 }, 2, later).write);
+    CHECK_FALSE(candidate.token());
 }
 
 TEST_CASE("no token is held by two processes, whatever is lost and whoever is frozen")
@@ -61,7 +80,11 @@
         for (int i = 0; i < 400; ++i) {
             const size_t index = draw(candidates.size());
             LeaseCandidate& candidate = candidates[index];
-            now += Millis(draw(600));
+            now += Millis(draw(900));
+            if (!draw(6))
+                candidate.onLeaderHeard(now);
+            if (!draw(20))
+                candidate.onUnresolved(now);
             LeaseActions actions = candidate.tick(now);
             if (actions.read) {
                 if (draw(8))
--- a/expertmap/lease.cc
+++ b/expertmap/lease.cc
@@ -6,7 +6,7 @@
 
 std::string toJson(const LeaseRecord& record)
 {
-    return boost::json::serialize(boost::json::object { { "token", record.token }, { "holder", std::to_string(record.holder) }, { "beat", record.beat } });
+    return boost::json::serialize(boost::json::object { { "token", record.token }, { "holder", std::to_string(record.holder) } });
 }
 
 std::optional<LeaseRecord> parseLeaseRecord(std::string_view text, std::string& reason)
@@ -20,8 +20,7 @@
     // Boost.JSON reports a field of the wrong type by exception; it ends here as a value.
     try {
         const auto& object = value.as_object();
-        return LeaseRecord { object.at("token").to_number<uint64_t>(), std::stoull(std::string(object.at("holder").as_string())),
-            object.at("beat").to_number<uint64_t>() };
+        return LeaseRecord { object.at("token").to_number<uint64_t>(), std::stoull(std::string(object.at("holder").as_string())) };
     } catch (const std::exception& failure) {
         reason = std::string("malformed lease: ") + failure.what();
         return std::nullopt;
@@ -30,11 +29,12 @@
 
 LeaseActions LeaseCandidate::tick(TimePoint now)
 {
-    if (m_busy || now < m_next)
+    if (!m_heard)
+        m_heard = now;
+    const bool lapsed = !m_held && now - *m_heard >= m_settings.timeout;
+    if (m_busy || now < m_next || (!m_mustRead && !lapsed))
         return {};
     m_next = now + m_settings.interval;
-    if (m_held && !m_mustRead)
-        return write({ m_record.token, m_self, m_record.beat + 1 });
     m_busy = true;
     LeaseActions actions;
     actions.read = true;
@@ -54,25 +54,25 @@
 {
     m_busy = false;
     m_mustRead = false;
-    if (!m_known || revision != m_revision || !(record == m_record))
-        m_changed = now;
+    // Someone else has taken over in the meantime; give it time to be heard.
+    if (m_known && revision != m_revision)
+        m_heard = now;
     m_known = true;
     m_record = record;
     m_revision = revision;
     // A write whose answer was lost may have given this process the lease.
     m_held = revision && record.holder == m_self;
-    const bool lapsed = now - m_changed >= m_settings.timeout;
+    const bool lapsed = m_heard && now - *m_heard >= m_settings.timeout;
     if (!m_held && (!revision || lapsed))
-        return write({ record.token + 1, m_self, 0 });
+        return write({ record.token + 1, m_self });
     return {};
 }
 
-void LeaseCandidate::onWritten(uint64_t revision, TimePoint now)
+void LeaseCandidate::onWritten(uint64_t revision, TimePoint)
 {
     m_busy = false;
     m_record = *m_writing;
     m_revision = revision;
-    m_changed = now;
     m_held = true;
 }
 
--- a/expertmap/lease.h
+++ b/expertmap/lease.h
@@ -10,8 +10,6 @@
     uint64_t token = 0;
     // Random start number of the process that holds it.
     uint64_t holder = 0;
-    // Rises with each renewal.
-    uint64_t beat = 0;
 
     bool operator==(const LeaseRecord&) const = default;
 };
@@ -22,8 +20,9 @@
 std::optional<LeaseRecord> parseLeaseRecord(std::string_view, std::string& reason);
 
 struct LeaseSettings {
+    // Between two calls to the platform.
     Millis interval { 500 };
-    // A lease whose record has not changed for this long, by the observer's own clock, is taken over.
+    // A leader of which nothing was heard for this long, by the observer's own clock, is replaced.
     Millis timeout { 2000 };
 };
 
@@ -38,7 +37,8 @@
 };
 
 // One process that would lead. A pure state machine: it compares no clocks of different
-// processes. Holding a lease permits nothing by itself: ranks check the token that came with it.
+// processes, and nobody renews a lease, so that a group that is well makes no calls. Holding a
+// lease permits nothing by itself: ranks check the token that came with it.
 class LeaseCandidate {
 public:
     LeaseCandidate(uint64_t self, const LeaseSettings& settings = {})
@@ -47,7 +47,10 @@
     {
     }
 
-    // Renews, looks or takes over, once an interval. At most one call is under way.
+    // The group's leader was heard of, by its messages to this rank.
+    void onLeaderHeard(TimePoint now) { m_heard = now; }
+
+    // Looks at the lease if it is not known or nothing was heard of its holder. At most one call is under way.
     LeaseActions tick(TimePoint);
 
     // The reply to a read; a revision of 0 means that there is no lease yet.
@@ -80,8 +83,8 @@
     bool m_busy = false;
     bool m_mustRead = true;
     TimePoint m_next;
-    // When the record was last seen to change.
-    TimePoint m_changed;
+    // When the leader was last heard of; at first, when this process began to listen.
+    std::optional<TimePoint> m_heard;
 };
 
 } // namespace orioletrail
--- a/rank/rank.cc
+++ b/rank/rank.cc
@@ -21,7 +21,6 @@
 
     constexpr Millis rankTick { 20 };
     constexpr Millis engineTimeout { 30'000 };
-    constexpr Millis groupPoll { 1000 };
 
     HttpCall engineCall(std::string method, std::string target, std::string body)
     {
@@ -188,6 +187,8 @@
             connection->close("another rank answers here");
         return;
     }
+    // Only the leader sends here.
+    lease.onLeaderHeard(Clock::now());
     if (std::holds_alternative<Ping>(message))
         connection->send(message);
     auto* group = std::get_if<GroupMessage>(&message);
@@ -248,7 +249,7 @@
         if (driver)
             driver->tick(now);
         if (driver && now >= nextGroupPoll) {
-            nextGroupPoll = now + detail::groupPoll;
+            nextGroupPoll = now + settings.freezePoll;
             asio::co_spawn(io, followGroup(), asio::detached);
         }
         asio::steady_timer timer(io, detail::rankTick);
@@ -304,6 +305,7 @@
 {
     const std::optional<uint64_t> token = lease.token();
     if (driver && (token != drivenToken || driver->isSuperseded())) {
+        lease.onUnresolved(Clock::now());
         log(LogLevel::Info, "stopped leading", { { "group", settings.group }, { "token", std::to_string(drivenToken) } });
         driver = nullptr;
     }
--- a/rank/rank.h
+++ b/rank/rank.h
@@ -26,6 +26,8 @@
     Millis stepTimeout { 2000 };
     Millis prepareTimeout { 30'000 };
     Millis planInterval { 2000 };
+    // How often the leader looks whether operators froze the map.
+    Millis freezePoll { 5000 };
     Millis platformTimeout { 1000 };
     uint32_t slotsPerRank = 2;
     LeaseSettings lease;
--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -132,7 +132,7 @@
 {
     std::vector<std::string> arguments { binary("orioletrail"), "rank", "--group", "g", "--rank", std::to_string(rank), "--listen", local(rankPort(rank) + 1),
         "--admin", local(rankPort(rank) + 2), "--engine", local(rankPort(rank)), "--platform", local(m_base), "--log-level", "error",
-        "--plan-interval", "500", "--step-timeout", "1000", "--slots-per-rank", "20" };
+        "--plan-interval", "500", "--freeze-poll", "500", "--step-timeout", "1000", "--slots-per-rank", "20" };
     for (int peer = 0; peer < m_shape.ranks; ++peer)
         arguments.insert(arguments.end(), { "--ranks", local(rankPort(peer) + (m_shape.relays ? 3 : 1)) });
     start("rank-" + std::to_string(rank), std::move(arguments));
