Keep finished keys in segments, and mend the ledger's explorer

Cause: a shard held 4000 keys and wrote all of them each time, so a service ended at 32000 keyed orders within the retention, after which all orders are refused. And the explorer of the ledger was weak: an edit had removed the line that numbers its tickets, so every claim had ticket 0.

Ruled out: a shorter retention or more shards alone, which trade safety or the platform's writes for the same figure.

Change: finished entries move to segment objects, written once and counted only when the head names them; a new owner reads what the head names before it decides; old segments are dropped; retention 6 hours. The explorer numbers its tickets again, runs 500 actions for each of 2000 seeds, and loses reads and writes of segments too.

--- a/ledger/record.cc
+++ b/ledger/record.cc
@@ -40,39 +40,70 @@
         return entry;
     }
 
+    json::object toObject(const LedgerEntries& entries)
+    {
+        json::object object;
+        for (const auto& [key, entry] : entries)
+            object[key] = toObject(entry);
+        return object;
+    }
+
+    LedgerEntries toEntries(const json::object& object)
+    {
+        LedgerEntries entries;
+        for (const auto& entry : object)
+            entries.emplace(entry.key(), toEntry(entry.value().as_object()));
+        return entries;
+    }
+
+    template <class Stored, class Read>
+    std::optional<Stored> parseStored(std::string_view text, std::string& reason, const Read& read)
+    {
+        boost::system::error_code error;
+        const json::value value = json::parse(text, error);
+        if (error) {
+            reason = "ledger object is not JSON: " + error.message();
+            return std::nullopt;
+        }
+        // Boost.JSON reports a field of the wrong type by exception; it ends here as a value.
+        try {
+            return read(value.as_object());
+        } catch (const std::exception& failure) {
+            reason = std::string("malformed ledger object: ") + failure.what();
+            return std::nullopt;
+        }
+    }
+
 } // namespace detail
 
 std::string toJson(const LedgerRecord& record)
 {
-    boost::json::object entries;
-    for (const auto& [key, entry] : record.entries)
-        entries[key] = detail::toObject(entry);
     const boost::json::object object { { "owner", std::to_string(record.owner) }, { "token", record.token },
-        { "entries", std::move(entries) } };
+        { "segments", boost::json::array(record.segments.begin(), record.segments.end()) }, { "entries", detail::toObject(record.entries) } };
     return boost::json::serialize(object);
 }
 
 std::optional<LedgerRecord> parseLedgerRecord(std::string_view text, std::string& reason)
 {
-    boost::system::error_code error;
-    const boost::json::value value = boost::json::parse(text, error);
-    if (error) {
-        reason = "ledger record is not JSON: " + error.message();
-        return std::nullopt;
-    }
-    // Boost.JSON reports a field of the wrong type by exception; it ends here as a value.
-    try {
+    return detail::parseStored<LedgerRecord>(text, reason, [](const boost::json::object& object) {
         LedgerRecord record;
-        const auto& object = value.as_object();
         record.owner = std::stoull(std::string(object.at("owner").as_string()));
         record.token = object.at("token").to_number<uint64_t>();
-        for (const auto& entry : object.at("entries").as_object())
-            record.entries.emplace(entry.key(), detail::toEntry(entry.value().as_object()));
+        record.entries = detail::toEntries(object.at("entries").as_object());
+        for (const auto& segment : object.at("segments").as_array())
+            record.segments.emplace_back(segment.as_string());
         return record;
-    } catch (const std::exception& failure) {
-        reason = std::string("malformed ledger record: ") + failure.what();
-        return std::nullopt;
-    }
+    });
+}
+
+std::string segmentToJson(const LedgerEntries& entries)
+{
+    return boost::json::serialize(boost::json::object { { "entries", detail::toObject(entries) } });
+}
+
+std::optional<LedgerEntries> parseSegment(std::string_view text, std::string& reason)
+{
+    return detail::parseStored<LedgerEntries>(text, reason, [](const boost::json::object& object) { return detail::toEntries(object.at("entries").as_object()); });
 }
 
 std::string ledgerKey(std::string_view account, std::string_view key)
@@ -93,6 +124,11 @@
     return "ledger/" + std::string(service) + "/" + std::to_string(shard);
 }
 
+std::string segmentObject(std::string_view service, uint32_t shard, std::string_view segment)
+{
+    return ledgerObject(service, shard) + "/" + std::string(segment);
+}
+
 std::optional<int64_t> mintTime(std::string_view key)
 {
     if (key.size() != detail::uuidLength || key[8] != '-' || key[13] != '-' || key[detail::uuidVersionAt] != '7')
--- a/ledger/record.h
+++ b/ledger/record.h
@@ -30,6 +30,8 @@
     std::optional<RecordedAnswer> answer;
 };
 
+using LedgerEntries = std::map<std::string, LedgerEntry, std::less<>>;
+
 // The stored value of a shard. Every write is conditional on the revision of the one before,
 // so a sidecar that lost ownership cannot add a claim.
 struct LedgerRecord {
@@ -37,7 +39,9 @@
     uint64_t owner = 0;
     // Fencing token; each change of owner raises it.
     uint64_t token = 0;
-    std::map<std::string, LedgerEntry, std::less<>> entries;
+    LedgerEntries entries;
+    // Segments that hold older finished entries, by the names under which they are stored.
+    std::vector<std::string> segments {};
 };
 
 std::string toJson(const LedgerRecord&);
@@ -51,8 +55,13 @@
 // The shard of a service that holds a ledger key, from 0 to ledgerShards - 1.
 uint32_t ledgerShard(std::string_view ledgerKey);
 
-// The platform key of a shard.
+// The platform key of a shard, and of one of its segments.
 std::string ledgerObject(std::string_view service, uint32_t shard);
+std::string segmentObject(std::string_view service, uint32_t shard, std::string_view segment);
+
+// The stored form of a segment. It is written once and never changed.
+std::string segmentToJson(const LedgerEntries&);
+std::optional<LedgerEntries> parseSegment(std::string_view, std::string& reason);
 
 // When a UUID of version 7 was made, in seconds since 1970; nothing for any other key.
 std::optional<int64_t> mintTime(std::string_view key);
--- a/ledger/shard-test.cc
+++ b/ledger/shard-test.cc
@@ -12,6 +12,7 @@
 struct FakeObject {
     std::string value;
     uint64_t revision = 0;
+    std::map<std::string, std::string> segments {};
 
     bool put(const LedgerWrite& write)
     {
@@ -39,6 +40,25 @@
             m_read = true;
         if (actions.write)
             m_write = actions.write;
+        if (actions.readSegment)
+            m_readSegment = actions.readSegment;
+        if (actions.writeSegment)
+            m_writeSegment = actions.writeSegment;
+        for (const std::string& segment : actions.removeSegments)
+            m_object.segments.erase(segment);
+    }
+
+    void answerSegment()
+    {
+        if (m_readSegment) {
+            const std::string segment = *std::exchange(m_readSegment, std::nullopt);
+            const auto found = m_object.segments.find(segment);
+            take(m_shard.onSegmentRead(found == m_object.segments.end() ? std::string() : found->second, m_now));
+        } else if (m_writeSegment) {
+            const SegmentWrite write = *std::exchange(m_writeSegment, std::nullopt);
+            m_object.segments[write.segment] = write.value;
+            take(m_shard.onSegmentWritten(m_now));
+        }
     }
 
     void answerRead()
@@ -63,6 +83,7 @@
                 answerRead();
             else if (m_write)
                 answerWrite();
+            answerSegment();
             m_now += Millis(50);
             take(m_shard.onTick(m_now));
         }
@@ -85,6 +106,8 @@
     int64_t m_seconds = 1'000'000;
     bool m_read = false;
     std::optional<LedgerWrite> m_write;
+    std::optional<std::string> m_readSegment;
+    std::optional<SegmentWrite> m_writeSegment;
     std::map<uint64_t, ClaimResult> m_results;
 };
 
@@ -277,6 +300,54 @@
     CHECK((owner.m_results[101].answer ? owner.m_results[101].answer->truncated : true));
 }
 
+TEST_CASE("finished entries move to segments, and a new owner knows them")
+{
+    FakeObject object;
+    LedgerSettings settings;
+    settings.sealAt = 10;
+    Owner owner(1, object, settings);
+    for (uint64_t ticket = 1; ticket <= 100; ++ticket) {
+        const std::string key = "k" + std::to_string(ticket);
+        owner.claim(ticket, key);
+        owner.settle();
+        owner.take(owner.m_shard.finish(ticket, key, { 200, "", key, false }, owner.m_now));
+        owner.settle();
+    }
+    CHECK(object.segments.size() >= 5);
+    CHECK(object.value.size() < 8000);
+    Owner next(2, object, settings);
+    for (uint64_t ticket = 1; ticket <= 100; ++ticket) {
+        const std::string key = "k" + std::to_string(ticket);
+        next.claim(ticket, key);
+        next.settle();
+        REQUIRE(next.m_results[ticket].answer);
+        CHECK(next.m_results[ticket].answer->body == key);
+    }
+}
+
+TEST_CASE("segments whose keys are all too old are removed")
+{
+    FakeObject object;
+    LedgerSettings settings;
+    settings.sealAt = 4;
+    settings.retention = std::chrono::seconds(60);
+    Owner owner(1, object, settings);
+    for (uint64_t ticket = 1; ticket <= 20; ++ticket) {
+        const std::string key = "k" + std::to_string(ticket);
+        owner.claim(ticket, key);
+        owner.settle();
+        owner.take(owner.m_shard.finish(ticket, key, { 200, "", key, false }, owner.m_now));
+        owner.settle();
+    }
+    REQUIRE_FALSE(object.segments.empty());
+    owner.m_seconds += 100;
+    owner.claim(50, "later");
+    owner.settle();
+    CHECK(owner.mayRun(50));
+    CHECK(object.segments.empty());
+    CHECK(owner.m_shard.sealedEntries() == 0);
+}
+
 TEST_CASE("a version 7 UUID tells when it was made")
 {
     CHECK(mintTime("017F22E2-79B0-7CC3-98C4-DC0C0C07398F") == 1645557742);
@@ -294,7 +365,7 @@
         : m_random(seed)
     {
         for (int i = 0; i < 3; ++i)
-            start();
+            m_owners.push_back(makeOwner());
     }
 
     int run(int steps)
@@ -307,10 +378,15 @@
         return most;
     }
 
+    size_t segments() const { return m_object.segments.size(); }
+
 private:
-    void start()
+    std::unique_ptr<Owner> makeOwner()
     {
-        m_owners.push_back(std::make_unique<Owner>(++m_nextOwner, m_object));
+        LedgerSettings settings;
+        // Small, so that entries move to segments all the time.
+        settings.sealAt = 2;
+        return std::make_unique<Owner>(++m_nextOwner, m_object, settings);
     }
 
     uint64_t draw(uint64_t below) { return std::uniform_int_distribution<uint64_t>(0, below - 1)(m_random); }
@@ -323,7 +399,7 @@
         switch (draw(9)) {
         case 0:
         case 1:
-            m_ticketKey[m_ticket] = "k" + std::to_string(draw(6));
+            m_ticketKey[++m_ticket] = "k" + std::to_string(draw(12));
             owner.claim(m_ticket, m_ticketKey[m_ticket]);
             break;
         case 2:
@@ -344,7 +420,7 @@
             break;
         default:
             if (!draw(8))
-                m_owners[index] = std::make_unique<Owner>(++m_nextOwner, m_object);
+                m_owners[index] = makeOwner();
         }
         collect(*m_owners[index]);
     }
@@ -355,10 +431,26 @@
             owner.answerRead();
         else if (owner.m_write)
             owner.answerWrite();
+        else if (owner.m_readSegment || owner.m_writeSegment)
+            answerOrLoseSegment(owner);
         else
             owner.take(owner.m_shard.onTick(owner.m_now));
     }
 
+    void answerOrLoseSegment(Owner& owner)
+    {
+        if (draw(4)) {
+            owner.answerSegment();
+        } else if (std::exchange(owner.m_readSegment, std::nullopt)) {
+            owner.take(owner.m_shard.onReadFailed(owner.m_now));
+        } else {
+            const SegmentWrite write = *std::exchange(owner.m_writeSegment, std::nullopt);
+            if (draw(2))
+                m_object.segments[write.segment] = write.value;
+            owner.take(owner.m_shard.onSegmentWriteFailed(owner.m_now));
+        }
+    }
+
     // The write takes effect now, later or never, and its answer is lost.
     void loseAnswer(Owner& owner)
     {
@@ -421,8 +513,12 @@
 
 TEST_CASE("no key runs twice under any interleaving of owners, losses and restarts")
 {
+    size_t segments = 0;
     for (uint64_t seed = 1; seed <= 2000; ++seed) {
         CAPTURE(seed);
-        REQUIRE(Explorer(seed).run(200) <= 1);
+        Explorer explorer(seed);
+        REQUIRE(explorer.run(500) <= 1);
+        segments += explorer.segments();
     }
+    CHECK(segments > 2000);
 }
--- a/ledger/shard.cc
+++ b/ledger/shard.cc
@@ -61,11 +61,59 @@
     }
     m_record = std::move(stored);
     m_revision = revision;
-    m_loaded = true;
     m_owned = revision && m_record.owner == m_owner;
+    return readMissingSegment(now);
+}
+
+LedgerActions LedgerShard::readMissingSegment(TimePoint now)
+{
+    for (const std::string& segment : m_record.segments) {
+        if (m_sealed.contains(segment))
+            continue;
+        // Written by this process, but the answer to the record's write was lost.
+        if (m_sealing && m_sealing->segment == segment) {
+            m_sealed[segment] = m_sealing->entries;
+            continue;
+        }
+        m_phase = Phase::ReadingSegment;
+        m_segmentRead = segment;
+        LedgerActions actions;
+        actions.readSegment = segment;
+        return actions;
+    }
+    m_loaded = true;
     return settleAndAdvance(now);
 }
 
+LedgerActions LedgerShard::onSegmentRead(std::string_view value, TimePoint now)
+{
+    std::string reason;
+    std::optional<LedgerEntries> entries;
+    if (!value.empty())
+        entries = parseSegment(value, reason);
+    // The record that named a missing segment has been replaced since.
+    if (!entries)
+        return onReadFailed(now);
+    m_sealed[m_segmentRead] = std::move(*entries);
+    return readMissingSegment(now);
+}
+
+LedgerActions LedgerShard::onSegmentWritten(TimePoint now)
+{
+    m_phase = Phase::Idle;
+    if (m_sealing)
+        m_sealing->written = true;
+    return advance(now);
+}
+
+LedgerActions LedgerShard::onSegmentWriteFailed(TimePoint now)
+{
+    m_sealing.reset();
+    m_phase = Phase::Delayed;
+    m_resumeAt = now + m_settings.retryDelay;
+    return {};
+}
+
 LedgerActions LedgerShard::onReadFailed(TimePoint now)
 {
     m_phase = Phase::Delayed;
@@ -108,16 +156,27 @@
 {
     m_phase = Phase::Idle;
     LedgerActions settled;
+    settleSealing();
+    dropSealed(settled);
     settleEndings();
     settleClaims(settled);
     LedgerActions next = advance(now);
+    next.removeSegments = std::move(settled.removeSegments);
     next.results.insert(next.results.begin(), settled.results.begin(), settled.results.end());
     return next;
 }
 
 LedgerActions LedgerShard::advance(TimePoint now)
 {
-    if (m_phase != Phase::Idle || (m_waiting.empty() && m_endings.empty()))
+    if (m_phase != Phase::Idle)
+        return {};
+    if (std::optional<SegmentWrite> segment = startSealing()) {
+        LedgerActions actions;
+        actions.writeSegment = std::move(segment);
+        return actions;
+    }
+    const bool sealed = m_sealing && m_sealing->written;
+    if (m_waiting.empty() && m_endings.empty() && !sealed)
         return {};
     const bool foreign = std::any_of(m_waiting.begin(), m_waiting.end(),
         [&](const auto& item) { return awaitsForeign(item.second, now); });
@@ -145,11 +204,14 @@
         ++m_pending.token;
     }
     prune();
+    pruneSegments();
+    addSealing();
     m_pendingBytes = 0;
     for (const auto& [key, entry] : m_pending.entries)
         m_pendingBytes += detail::entryBytes + (entry.answer ? entry.answer->body.size() : 0);
     addEndings();
-    if (!addClaims(now, actions) && m_endings.empty())
+    const bool sealed = m_sealing && m_sealing->written && m_owned;
+    if (!addClaims(now, actions) && m_endings.empty() && !sealed)
         return actions;
     m_phase = Phase::Writing;
     m_nextWrite = now + m_settings.writeInterval;
@@ -158,6 +220,84 @@
     return actions;
 }
 
+std::optional<SegmentWrite> LedgerShard::startSealing()
+{
+    if (!m_owned || !m_loaded || m_sealing || m_record.entries.size() < m_settings.sealAt
+        || sealedEntries() + m_settings.sealAt > m_settings.maxSealed)
+        return std::nullopt;
+    Sealing sealing { std::to_string(m_owner) + "-" + std::to_string(++m_nextSegment), {}, false };
+    for (const auto& [key, entry] : m_record.entries)
+        if (entry.answer)
+            sealing.entries.emplace(key, entry);
+    // Not worth a segment while most are still running.
+    if (sealing.entries.size() * 2 < m_settings.sealAt)
+        return std::nullopt;
+    m_phase = Phase::WritingSegment;
+    m_sealing = std::move(sealing);
+    return SegmentWrite { m_sealing->segment, segmentToJson(m_sealing->entries) };
+}
+
+void LedgerShard::addSealing()
+{
+    // A record of another owner does not hold these entries for this one to move.
+    if (!m_sealing || !m_sealing->written || !m_owned)
+        return;
+    for (const auto& [key, entry] : m_sealing->entries)
+        m_pending.entries.erase(key);
+    m_pending.segments.push_back(m_sealing->segment);
+}
+
+void LedgerShard::settleSealing()
+{
+    if (!m_sealing)
+        return;
+    const auto& segments = m_record.segments;
+    if (std::find(segments.begin(), segments.end(), m_sealing->segment) != segments.end()) {
+        m_sealed[m_sealing->segment] = std::move(m_sealing->entries);
+        m_sealing.reset();
+    } else if (!m_owned) {
+        m_sealing.reset();
+    }
+}
+
+void LedgerShard::pruneSegments()
+{
+    std::erase_if(m_pending.segments, [&](const std::string& segment) {
+        const auto& entries = m_sealed[segment];
+        return std::all_of(entries.begin(), entries.end(), [&](const auto& item) { return item.second.claimedAt + m_settings.retention.count() < m_unixSeconds; });
+    });
+}
+
+void LedgerShard::dropSealed(LedgerActions& actions)
+{
+    const auto& segments = m_record.segments;
+    std::erase_if(m_sealed, [&](const auto& item) {
+        if (std::find(segments.begin(), segments.end(), item.first) != segments.end())
+            return false;
+        if (m_owned)
+            actions.removeSegments.push_back(item.first);
+        return true;
+    });
+}
+
+size_t LedgerShard::sealedEntries() const
+{
+    size_t count = 0;
+    for (const auto& [segment, entries] : m_sealed)
+        count += entries.size();
+    return count;
+}
+
+const LedgerEntry* LedgerShard::find(std::string_view key) const
+{
+    if (const auto found = m_record.entries.find(key); found != m_record.entries.end())
+        return &found->second;
+    for (const auto& [segment, entries] : m_sealed)
+        if (const auto found = entries.find(key); found != entries.end())
+            return &found->second;
+    return nullptr;
+}
+
 void LedgerShard::addEndings()
 {
     for (const auto& [key, ending] : m_endings) {
@@ -248,15 +388,15 @@
 
 bool LedgerShard::decideKnown(const Waiting& waiting, uint64_t ticket, TimePoint now, LedgerActions& actions) const
 {
-    const auto found = m_record.entries.find(waiting.key);
-    if (awaitsForeign(waiting, now) || found == m_record.entries.end() || found->second.claimant == claimantOf(ticket))
+    const LedgerEntry* found = find(waiting.key);
+    if (awaitsForeign(waiting, now) || !found || found->claimant == claimantOf(ticket))
         return false;
-    ClaimResult result { ticket, Reason::KeyInProgress, Outcome::MayHaveRun, found->second.answer };
+    ClaimResult result { ticket, Reason::KeyInProgress, Outcome::MayHaveRun, found->answer };
     // The answer may be known here before it is written.
     const auto ending = m_endings.find(waiting.key);
-    if (!result.answer && ending != m_endings.end() && ending->second.claimant == found->second.claimant)
+    if (!result.answer && ending != m_endings.end() && ending->second.claimant == found->claimant)
         result.answer = ending->second.answer;
-    if (found->second.bodyDigest != waiting.bodyDigest)
+    if (found->bodyDigest != waiting.bodyDigest)
         result = { ticket, Reason::KeyReused, Outcome::NotRun, std::nullopt };
     actions.results.push_back(std::move(result));
     return true;
--- a/ledger/shard.h
+++ b/ledger/shard.h
@@ -9,10 +9,13 @@
 
 struct LedgerSettings {
     // How long a claimed key is kept after it was claimed.
-    std::chrono::seconds retention { 24 * 3600 };
+    std::chrono::seconds retention { 6 * 3600 };
     // Bounds on one shard's object; the platform takes values up to 1 MB.
     size_t maxEntries = 4000;
     size_t maxBytes = 900'000;
+    // Finished entries that are moved to a segment at once, and those kept in segments.
+    size_t sealAt = 1000;
+    size_t maxSealed = 20'000;
     // Larger recorded bodies are left out.
     size_t maxRecordedBody = 2048;
     // Least time between two writes of a shard, which bounds the load on the platform.
@@ -34,6 +37,12 @@
     uint64_t expected = 0;
 };
 
+// Creates a segment, which does not exist yet.
+struct SegmentWrite {
+    std::string segment;
+    std::string value;
+};
+
 // The answer to a claim. None with no answer: it is durable, run the request now.
 struct ClaimResult {
     uint64_t ticket = 0;
@@ -46,6 +55,11 @@
 struct LedgerActions {
     std::optional<LedgerRead> read;
     std::optional<LedgerWrite> write;
+    // Read or create one segment.
+    std::optional<std::string> readSegment;
+    std::optional<SegmentWrite> writeSegment;
+    // Segments that no record names any more.
+    std::vector<std::string> removeSegments;
     std::vector<ClaimResult> results;
 };
 
@@ -82,12 +96,21 @@
     // The write was refused, or nothing is known about it: it is resolved by a read.
     LedgerActions onWriteUnresolved(TimePoint);
 
+    // The reply to a read of a segment; empty if it does not exist any more.
+    LedgerActions onSegmentRead(std::string_view value, TimePoint);
+
+    LedgerActions onSegmentWritten(TimePoint);
+
+    // Nothing is known of the segment; another name is used for the next.
+    LedgerActions onSegmentWriteFailed(TimePoint);
+
     // Resumes after a delay.
     LedgerActions onTick(TimePoint);
 
     // True while claims wait or endings are yet to be written.
-    bool hasWork() const { return !m_waiting.empty() || !m_endings.empty(); }
+    bool hasWork() const { return !m_waiting.empty() || !m_endings.empty() || m_sealing; }
 
+    size_t sealedEntries() const;
     bool isOwner() const { return m_owned; }
     uint64_t token() const { return m_record.token; }
     // Platform writes issued so far.
@@ -98,6 +121,8 @@
         Idle,
         Reading,
         Writing,
+        ReadingSegment,
+        WritingSegment,
         Delayed
     };
 
@@ -122,7 +147,21 @@
     size_t addClaims(TimePoint, LedgerActions&);
     void settleEndings();
     bool isFull() const;
+    // Entries on their way into a segment.
+    struct Sealing {
+        std::string segment;
+        LedgerEntries entries;
+        bool written = false;
+    };
+
     LedgerActions startRead();
+    LedgerActions readMissingSegment(TimePoint);
+    std::optional<SegmentWrite> startSealing();
+    void addSealing();
+    void settleSealing();
+    void pruneSegments();
+    void dropSealed(LedgerActions&);
+    const LedgerEntry* find(std::string_view key) const;
     LedgerActions startWrite(TimePoint);
     void settleClaims(LedgerActions&);
     void failWaiting(LedgerActions&, Reason);
@@ -148,6 +187,11 @@
     int64_t m_unixSeconds = 0;
     // Size of the pending record, estimated from its entries.
     size_t m_pendingBytes = 0;
+    // Entries of the segments that the record names.
+    std::map<std::string, LedgerEntries, std::less<>> m_sealed;
+    std::optional<Sealing> m_sealing;
+    std::string m_segmentRead;
+    uint64_t m_nextSegment = 0;
     uint64_t m_writes = 0;
 };
 
--- a/sidecar/claims.cc
+++ b/sidecar/claims.cc
@@ -66,6 +66,14 @@
         PutRequest put { ledgerObject(m_service, shard), std::move(actions.write->value), actions.write->expected };
         boost::asio::co_spawn(m_executor, write(shard, std::move(put)), boost::asio::detached);
     }
+    if (actions.readSegment)
+        boost::asio::co_spawn(m_executor, readSegment(shard, segmentObject(m_service, shard, *actions.readSegment)), boost::asio::detached);
+    if (actions.writeSegment) {
+        PutRequest put { segmentObject(m_service, shard, actions.writeSegment->segment), std::move(actions.writeSegment->value), 0 };
+        boost::asio::co_spawn(m_executor, writeSegment(shard, std::move(put)), boost::asio::detached);
+    }
+    for (const std::string& segment : actions.removeSegments)
+        boost::asio::co_spawn(m_executor, removeSegment(segmentObject(m_service, shard, segment)), boost::asio::detached);
     for (ClaimResult& result : actions.results) {
         auto handler = m_handlers.extract(result.ticket);
         if (!handler.empty())
@@ -85,6 +93,34 @@
         apply(shard, state.onReadFailed(Clock::now()));
 }
 
+Task<> Claims::readSegment(uint32_t shard, std::string key)
+{
+    const PlatformReply reply = co_await m_platform.get(std::move(key));
+    LedgerShard& state = m_shards[shard];
+    if (reply.status == PlatformStatus::Ok || reply.status == PlatformStatus::NotFound)
+        apply(shard, state.onSegmentRead(reply.value, Clock::now()));
+    else
+        apply(shard, state.onReadFailed(Clock::now()));
+}
+
+Task<> Claims::writeSegment(uint32_t shard, PutRequest put)
+{
+    const PlatformReply reply = co_await m_platform.put(std::move(put));
+    LedgerShard& state = m_shards[shard];
+    if (reply.status == PlatformStatus::Ok)
+        apply(shard, state.onSegmentWritten(Clock::now()));
+    else
+        apply(shard, state.onSegmentWriteFailed(Clock::now()));
+}
+
+// A segment that is left behind by a failure here does no harm.
+Task<> Claims::removeSegment(std::string key)
+{
+    const PlatformReply found = co_await m_platform.get(key);
+    if (found.status == PlatformStatus::Ok)
+        co_await m_platform.remove(key, found.revision);
+}
+
 Task<> Claims::write(uint32_t shard, PutRequest put)
 {
     const PlatformReply reply = co_await m_platform.put(std::move(put));
--- a/sidecar/claims.h
+++ b/sidecar/claims.h
@@ -35,6 +35,9 @@
     void apply(uint32_t shard, LedgerActions);
     Task<> read(uint32_t shard);
     Task<> write(uint32_t shard, PutRequest);
+    Task<> readSegment(uint32_t shard, std::string key);
+    Task<> writeSegment(uint32_t shard, PutRequest);
+    Task<> removeSegment(std::string key);
 
     boost::asio::any_io_executor m_executor;
     Platform m_platform;
