--- a/bench/bench.h
+++ b/bench/bench.h
@@ -15,6 +15,9 @@
 // Platform calls and latency of ways to claim idempotency keys.
 int runLedger();
 
+// Policies for choosing an endpoint.
+int runRouting();
+
 // Useful work and refusals at the capacity of the endpoints and at three times as much.
 int runOverload();
 
--- a/bench/main.cc
+++ b/bench/main.cc
@@ -11,6 +11,7 @@
     CLI::App* path = app.add_subcommand("path", "the whole path against direct calls");
     CLI::App* hop = app.add_subcommand("hop", "nng against framed connections");
     CLI::App* ledger = app.add_subcommand("ledger", "ways to claim idempotency keys");
+    CLI::App* routing = app.add_subcommand("routing", "policies for choosing an endpoint");
     CLI::App* overload = app.add_subcommand("overload", "useful work and refusals under overload");
     CLI::App* capacity = app.add_subcommand("capacity", "cost of control by role and size");
     CLI11_PARSE(app, argc, argv);
@@ -23,6 +24,8 @@
         return runHop();
     if (*ledger)
         return runLedger();
+    if (*routing)
+        return runRouting();
     if (*overload)
         return runOverload();
     return *capacity ? runCapacity() : 1;
--- a/control/agent.cc
+++ b/control/agent.cc
@@ -1,13 +1,12 @@
 #include "control/agent.h"
 
+#include "gateway/async.h"
 #include "membership/peers.h"
 #include "telemetry/log.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <random>
 
 namespace orioletrail {
@@ -66,13 +65,6 @@
     m_neighbours.clear();
 }
 
-Task<> Agent::sleep(Millis pause)
-{
-    boost::asio::steady_timer timer(m_executor, pause);
-    boost::system::error_code ignored;
-    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-}
-
 bool Agent::isWatcher() const
 {
     return !m_settings.gossip.empty() && watchRank(*m_view.config, m_settings.name, m_settings.zone) < watchersPerZone;
@@ -101,7 +93,7 @@
             backoff = answered ? detail::leastBackoff : std::min(backoff * 2, most);
             pause = answered && watching ? Millis(0) : detail::withJitter(backoff);
         }
-        co_await sleep(pause);
+        co_await sleepFor(pause);
     }
 }
 
@@ -127,7 +119,7 @@
             const auto next = std::next(m_neighbours.begin(), static_cast<ptrdiff_t>(turn++ % m_neighbours.size()));
             gossipWith(*next->second, {});
         }
-        co_await sleep(m_settings.gossipTick);
+        co_await sleepFor(m_settings.gossipTick);
     }
 }
 
--- a/control/agent.h
+++ b/control/agent.h
@@ -5,8 +5,6 @@
 #include "platform/platform.h"
 #include "transport/gossip.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 namespace orioletrail {
 
 struct AgentSettings {
@@ -44,7 +42,6 @@
 private:
     Task<> watchLoop();
     Task<> gossipLoop();
-    Task<> sleep(Millis);
     bool shouldAskPlatform() const;
     bool isWatcher() const;
     Task<bool> askPlatform(Millis wait);
--- a/entry/admin.cc
+++ b/entry/admin.cc
@@ -1,10 +1,9 @@
 // The operators' port of an entry. Everything here runs on the control thread.
 #include "entry/state.h"
+#include "gateway/async.h"
 
 #include <array>
 #include <boost/asio/post.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 #include <ctime>
 #include <random>
@@ -46,13 +45,6 @@
         return json::serialize(json::object { { "status", static_cast<int>(result.status) }, { "message", result.message }, { "rows", std::move(rows) } });
     }
 
-    Task<> pauseFor(Millis length)
-    {
-        boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, length);
-        boost::system::error_code ignored;
-        co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-    }
-
     // A minute since 1970 as UTC, such as 2026-01-31T06:05Z.
     std::string formatMinute(int64_t minute)
     {
@@ -159,7 +151,7 @@
     PlatformReply reply = co_await platform.put(put);
     // A lost answer is resolved by reading back who wrote the object last.
     for (int i = 0; reply.status == PlatformStatus::Unknown && i < detail::readBacks; ++i) {
-        co_await detail::pauseFor(detail::readBackPause);
+        co_await sleepFor(detail::readBackPause);
         const PlatformReply found = co_await platform.get(key);
         if (found.status == PlatformStatus::Ok && detail::commandIdOf(found.value) == id)
             reply = { PlatformStatus::Ok, found.revision, {} };
@@ -222,7 +214,7 @@
         boost::asio::post(controlIo, [answer, result = question()]() mutable { *answer = std::move(result); });
     });
     while (!*answer)
-        co_await detail::pauseFor(detail::inForcePause);
+        co_await sleepFor(detail::inForcePause);
     co_return std::move(**answer);
 }
 
@@ -279,7 +271,7 @@
 {
     const TimePoint until = Clock::now() + detail::inForceTimeout;
     while (controlView.config->revision < revision && Clock::now() < until)
-        co_await detail::pauseFor(detail::inForcePause);
+        co_await sleepFor(detail::inForcePause);
 }
 
 Task<CommandResult> Entry::State::showRevisions()
@@ -308,7 +300,7 @@
             if (answers->revisions.size() == clients.size())
                 break;
         }
-        co_await detail::pauseFor(detail::inForcePause);
+        co_await sleepFor(detail::inForcePause);
     }
     CommandResult result;
     result.rows.push_back({ "instance", "config revision" });
--- a/entry/entry.cc
+++ b/entry/entry.cc
@@ -1,6 +1,7 @@
 #include "entry/entry.h"
 
 #include "entry/state.h"
+#include "gateway/async.h"
 #include "membership/peers.h"
 #include "telemetry/log.h"
 
@@ -22,13 +23,6 @@
     // Credits asked of one sidecar beyond those held.
     constexpr uint32_t mostWanted = 16;
 
-    Task<> pause(asio::any_io_executor executor, Millis length)
-    {
-        asio::steady_timer timer(executor, length);
-        boost::system::error_code ignored;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    }
-
 } // namespace detail
 
 Entry::Entry(EntrySettings settings)
@@ -48,21 +42,11 @@
 
 bool validate(const EntrySettings& settings, std::string& reason)
 {
-    const std::pair<std::string_view, const std::string*> addresses[] = { { "--listen", &settings.listen },
-        { "--admin", &settings.admin }, { "--gossip", &settings.gossip }, { "--platform", &settings.platform } };
-    for (const auto& [flag, value] : addresses) {
-        if (!parseAddress(*value)) {
-            reason = std::string(flag) + ": \"" + *value + "\" is not an address of the form IP:PORT";
-            return false;
-        }
-    }
-    for (const std::string& peer : settings.peers) {
-        if (!parseAddress(peer)) {
-            reason = "--peer: \"" + peer + "\" is not an address of the form IP:PORT";
-            return false;
-        }
-    }
-    return true;
+    std::vector<AddressFlag> addresses = { { "--listen", settings.listen }, { "--admin", settings.admin },
+        { "--gossip", settings.gossip }, { "--platform", settings.platform } };
+    for (const std::string& peer : settings.peers)
+        addresses.push_back({ "--peer", peer });
+    return checkAddresses(addresses, reason);
 }
 
 Entry::State::State(EntrySettings given)
@@ -220,7 +204,7 @@
 Task<> Entry::State::tickLoop()
 {
     while (true) {
-        co_await detail::pause(traffic.get_executor(), detail::tickInterval);
+        co_await sleepFor(detail::tickInterval);
         const TimePoint now = Clock::now();
         size_t open = 0;
         for (const auto& [name, link] : links) {
@@ -242,13 +226,13 @@
 
 Task<> Entry::State::drain()
 {
-    co_await detail::pause(traffic.get_executor(), settings.drainGrace);
+    co_await sleepFor(settings.drainGrace);
     server->stopAccepting();
     const TimePoint limit = Clock::now() + settings.drainTimeout;
     while (server->inProgress() && Clock::now() < limit)
-        co_await detail::pause(traffic.get_executor(), detail::tickInterval);
+        co_await sleepFor(detail::tickInterval);
     // Acknowledgements of the last frames leave before the process does.
-    co_await detail::pause(traffic.get_executor(), detail::tickInterval);
+    co_await sleepFor(detail::tickInterval);
     traffic.stop();
 }
 
--- a/entry/request.cc
+++ b/entry/request.cc
@@ -1,6 +1,7 @@
 // From a caller's request to its answer or refusal.
 #include "base/digest.h"
 #include "entry/state.h"
+#include "gateway/async.h"
 #include "ledger/record.h"
 #include "telemetry/log.h"
 
@@ -114,11 +115,8 @@
 Task<> Entry::State::waitUntilFresh()
 {
     const TimePoint until = Clock::now() + settings.queueTimeout;
-    while (view.config->revision && !view.mayAct(Clock::now()) && Clock::now() < until) {
-        asio::steady_timer timer(traffic, detail::freshPause);
-        boost::system::error_code ignored;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    }
+    while (view.config->revision && !view.mayAct(Clock::now()) && Clock::now() < until)
+        co_await sleepFor(detail::freshPause);
 }
 
 Task<> Entry::State::serve(const HttpRequest& request, Responder& responder, Job& job)
--- a/fakes/caller.cc
+++ b/fakes/caller.cc
@@ -75,7 +75,7 @@
                     co_await lookup();
                 else
                     co_await completion();
-                co_await pause(pauseBetween);
+                co_await sleepFor(pauseBetween);
             }
         }
 
@@ -126,7 +126,7 @@
                 call.request.headers.emplace_back("Idempotency-Key", key);
                 const HttpResult result = co_await send("order", call, key, isRight);
                 if (!result.ok() || result.status >= 500)
-                    co_await pause(retryPause);
+                    co_await sleepFor(retryPause);
             }
         }
 
--- a/fakes/engine.cc
+++ b/fakes/engine.cc
@@ -56,14 +56,14 @@
             if (m_inFlight > capacity()) {
                 m_fake.record({ { "what", "overload" }, { "inFlight", m_inFlight } });
                 turnCold();
-                co_await pause(recovery);
+                co_await sleepFor(recovery);
                 const HttpAnswer answer = jsonAnswer(500, { { "error", "overloaded" } });
                 co_await responder.respond(answer);
                 co_return;
             }
             const std::string fault = m_fake.takeFault("stall slow cut");
-            co_await pause(fault == "stall" ? stallTime : fault == "slow" ? m_fake.faultDelay()
-                                                                          : m_settings.firstToken);
+            co_await sleepFor(fault == "stall" ? stallTime : fault == "slow" ? m_fake.faultDelay()
+                                                                             : m_settings.firstToken);
             const size_t count = body.contains("max_tokens") ? body.at("max_tokens").to_number<size_t>() : 8;
             const std::vector<std::string> tokens = tokensOf(prompt, count);
             if (body.contains("stream") && body.at("stream").as_bool())
@@ -75,7 +75,7 @@
         Task<> whole(Responder& responder, const std::vector<std::string>& tokens)
         {
             if (m_settings.perToken.count())
-                co_await pause(m_settings.perToken * static_cast<int>(tokens.size()));
+                co_await sleepFor(m_settings.perToken * static_cast<int>(tokens.size()));
             std::string text;
             for (const std::string& token : tokens)
                 text += token;
@@ -98,7 +98,7 @@
                 if (!co_await responder.chunk(data))
                     co_return;
                 if (m_settings.perToken.count())
-                    co_await pause(m_settings.perToken);
+                    co_await sleepFor(m_settings.perToken);
             }
             co_await responder.chunk("data: [DONE]\n\n");
             co_await responder.end();
--- a/fakes/fake.cc
+++ b/fakes/fake.cc
@@ -2,11 +2,7 @@
 
 #include "base/digest.h"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
-#include <csignal>
 #include <iostream>
 
 namespace orioletrail::fakes {
@@ -65,13 +61,6 @@
     return mode;
 }
 
-Task<> pause(Millis length)
-{
-    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, length);
-    boost::system::error_code ignored;
-    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-}
-
 HttpAnswer jsonAnswer(unsigned status, const json::object& body)
 {
     return { status, { { "Content-Type", "application/json" } }, json::serialize(body) };
--- a/fakes/fake.h
+++ b/fakes/fake.h
@@ -1,7 +1,7 @@
 // What all stand-ins share: an event loop with an HTTP port, a record on disk and faults.
 #pragma once
 
-#include "gateway/http.h"
+#include "gateway/async.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/json/object.hpp>
@@ -49,8 +49,6 @@
     Fault m_fault;
 };
 
-Task<> pause(Millis);
-
 // A JSON answer.
 HttpAnswer jsonAnswer(unsigned status, const boost::json::object&);
 
--- a/fakes/platform.cc
+++ b/fakes/platform.cc
@@ -50,7 +50,7 @@
                 responder.abort();
                 co_return;
             }
-            co_await pause(fault == "slow" ? m_fake.faultDelay() : m_latency);
+            co_await sleepFor(fault == "slow" ? m_fake.faultDelay() : m_latency);
             HttpAnswer answer = jsonAnswer(404, {});
             if (request.path() == "/v1/list")
                 answer = co_await list(request);
@@ -102,7 +102,7 @@
             const TimePoint until = Clock::now() + Millis(numberOf(request.query("wait")));
             json::array found = changes(prefix, since);
             while (found.empty() && Clock::now() < until) {
-                co_await pause(poll);
+                co_await sleepFor(poll);
                 found = changes(prefix, since);
             }
             co_return jsonAnswer(200, { { "revision", m_revision }, { "objects", std::move(found) } });
--- a/fakes/rank.cc
+++ b/fakes/rank.cc
@@ -41,11 +41,11 @@
             if (request.path() == "/step") {
                 m_fake.record({ { "what", "step" }, { "token", numberOf(request.query("token")) }, { "number", numberOf(request.query("number")) }, { "version", numberOf(request.query("version")) } });
                 const std::string fault = m_fake.takeFault("stall slow");
-                co_await pause(fault == "stall" ? stallTime : fault == "slow" ? m_fake.faultDelay()
-                                                                              : m_settings.stepTime);
+                co_await sleepFor(fault == "stall" ? stallTime : fault == "slow" ? m_fake.faultDelay()
+                                                                                 : m_settings.stepTime);
             } else if (request.path() == "/load") {
                 m_fake.record({ { "what", "load" }, { "version", numberOf(request.query("version")) } });
-                co_await pause(m_settings.loadTime);
+                co_await sleepFor(m_settings.loadTime);
             } else {
                 answer = jsonAnswer(200, { { "counts", counts() } });
             }
--- a/fakes/service.cc
+++ b/fakes/service.cc
@@ -36,8 +36,8 @@
             const bool order = request.method == "POST";
             m_fake.record({ { "what", order ? "order" : "lookup" }, { "request", request.header("X-Request-Id") }, { "key", request.header("Idempotency-Key") }, { "body", request.body } });
             const std::string fault = m_fake.takeFault(order ? "lose slow stall" : "slow stall");
-            co_await pause(fault == "stall" ? stallTime : fault == "slow" ? m_fake.faultDelay()
-                                                                          : m_settings.orderTime);
+            co_await sleepFor(fault == "stall" ? stallTime : fault == "slow" ? m_fake.faultDelay()
+                                                                             : m_settings.orderTime);
             if (fault == "lose") {
                 responder.abort();
             } else {
--- /dev/null
+++ b/gateway/async.cc
@@ -0,0 +1,51 @@
+#include "gateway/async.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace orioletrail {
+
+namespace asio = boost::asio;
+
+Task<> sleepFor(Millis length)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, length);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+bool checkAddresses(std::span<const AddressFlag> addresses, std::string& reason)
+{
+    for (const auto& [flag, value] : addresses) {
+        if (!parseAddress(value)) {
+            reason = std::string(flag) + ": \"" + std::string(value) + "\" is not an address of the form IP:PORT";
+            return false;
+        }
+    }
+    return true;
+}
+
+bool listenOn(asio::ip::tcp::acceptor& acceptor, const AddressFlag& address, std::string& reason)
+{
+    const auto parsed = parseAddress(address.value);
+    boost::system::error_code error;
+    if (!parsed) {
+        reason = std::string(address.flag) + ": not an address";
+        return false;
+    }
+    const asio::ip::tcp::endpoint local(asio::ip::make_address(parsed->first), parsed->second);
+    acceptor.open(local.protocol(), error);
+    if (!error)
+        acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(local, error);
+    if (!error)
+        acceptor.listen(asio::ip::tcp::acceptor::max_listen_connections, error);
+    if (error)
+        reason = std::string(address.flag) + ": cannot listen on " + std::string(address.value) + ": " + error.message();
+    return !error;
+}
+
+} // namespace orioletrail
--- a/rank/rank.cc
+++ b/rank/rank.cc
@@ -1,5 +1,6 @@
 #include "rank/rank.h"
 
+#include "gateway/async.h"
 #include "rank/leader.h"
 #include "telemetry/log.h"
 
@@ -8,7 +9,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 #include <random>
@@ -94,16 +94,12 @@
 
 bool validate(const RankSettings& settings, std::string& reason)
 {
-    std::vector<std::pair<std::string_view, std::string>> addresses = { { "--listen", settings.listen }, { "--engine", settings.engine },
+    std::vector<AddressFlag> addresses = { { "--listen", settings.listen }, { "--engine", settings.engine },
         { "--platform", settings.platform }, { "--admin", settings.admin } };
     for (const std::string& rank : settings.ranks)
-        addresses.emplace_back("--ranks", rank);
-    for (const auto& [flag, value] : addresses) {
-        if (!parseAddress(value)) {
-            reason = std::string(flag) + ": \"" + value + "\" is not an address of the form IP:PORT";
-            return false;
-        }
-    }
+        addresses.push_back({ "--ranks", rank });
+    if (!checkAddresses(addresses, reason))
+        return false;
     if (settings.rank >= settings.ranks.size()) {
         reason = "--rank: " + std::to_string(settings.rank) + " is not below the number of --ranks, " + std::to_string(settings.ranks.size());
         return false;
@@ -125,7 +121,6 @@
     const auto [platformHost, platformPort] = *parseAddress(settings.platform);
     const auto [engineHost, enginePort] = *parseAddress(settings.engine);
     const auto [adminHost, adminPort] = *parseAddress(settings.admin);
-    const auto [listenHost, listenPort] = *parseAddress(settings.listen);
     platform = makeHttpPlatform(io.get_executor(), platformHost, platformPort, settings.platformTimeout, metrics);
     engine = std::make_unique<HttpClient>(io.get_executor(), engineHost, enginePort);
     admin = std::make_unique<HttpServer>(
@@ -135,15 +130,7 @@
         reason = "--admin: " + admin->lastError();
         return false;
     }
-    boost::system::error_code error;
-    const asio::ip::tcp::endpoint local(asio::ip::make_address(listenHost), listenPort);
-    acceptor.open(local.protocol(), error);
-    acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
-    if (!acceptor.bind(local, error))
-        acceptor.listen(asio::ip::tcp::acceptor::max_listen_connections, error);
-    if (error)
-        reason = "--listen: cannot listen on " + settings.listen + ": " + error.message();
-    return !error;
+    return listenOn(acceptor, { "--listen", settings.listen }, reason);
 }
 
 void Rank::State::run()
@@ -252,9 +239,7 @@
             nextGroupPoll = now + settings.freezePoll;
             asio::co_spawn(io, followGroup(), asio::detached);
         }
-        asio::steady_timer timer(io, detail::rankTick);
-        boost::system::error_code ignored;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await sleepFor(detail::rankTick);
     }
 }
 
--- a/routing/router.h
+++ b/routing/router.h
@@ -31,7 +31,7 @@
 
 struct RouteSettings {
     // An endpoint is passed over when its load exceeds this multiple of the mean.
-    double loadBound = 1.25;
+    double loadBound = 2.0;
 };
 
 // Index of the chosen candidate, or nothing if none is open with a credit. Endpoints are ranked
--- a/sidecar/sidecar.cc
+++ b/sidecar/sidecar.cc
@@ -1,6 +1,6 @@
 #include "sidecar/sidecar.h"
 
-#include "base/digest.h"
+#include "gateway/async.h"
 #include "sidecar/state.h"
 #include "telemetry/log.h"
 
@@ -25,13 +25,6 @@
     constexpr int deathChecks = 5;
     constexpr Millis deathCheckPause { 50 };
 
-    Task<> sleep(asio::any_io_executor executor, Millis pause)
-    {
-        asio::steady_timer timer(executor, pause);
-        boost::system::error_code ignored;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    }
-
     std::optional<LoadReport> parseLoad(std::string_view text)
     {
         boost::system::error_code error;
@@ -68,14 +61,10 @@
 
 bool validate(const SidecarSettings& settings, std::string& reason)
 {
-    const std::pair<std::string_view, const std::string*> addresses[] = { { "--listen", &settings.listen },
-        { "--endpoint", &settings.endpoint }, { "--platform", &settings.platform }, { "--admin", &settings.admin } };
-    for (const auto& [flag, value] : addresses) {
-        if (!parseAddress(*value)) {
-            reason = std::string(flag) + ": \"" + *value + "\" is not an address of the form IP:PORT";
-            return false;
-        }
-    }
+    const AddressFlag addresses[] = { { "--listen", settings.listen }, { "--endpoint", settings.endpoint },
+        { "--platform", settings.platform }, { "--admin", settings.admin } };
+    if (!checkAddresses(addresses, reason))
+        return false;
     if (settings.ramp.coldLimit > settings.ramp.warmLimit) {
         reason = "--cold-limit: " + std::to_string(settings.ramp.coldLimit) + " is above --warm-limit "
             + std::to_string(settings.ramp.warmLimit);
@@ -98,7 +87,6 @@
     const auto [endpointHost, endpointPort] = *parseAddress(settings.endpoint);
     const auto [platformHost, platformPort] = *parseAddress(settings.platform);
     const auto [adminHost, adminPort] = *parseAddress(settings.admin);
-    const auto [listenHost, listenPort] = *parseAddress(settings.listen);
     endpoint = std::make_unique<HttpClient>(traffic.get_executor(), endpointHost, endpointPort);
     claims = std::make_unique<Claims>(traffic.get_executor(),
         makeHttpPlatform(traffic.get_executor(), platformHost, platformPort, settings.platformTimeout, metrics),
@@ -117,16 +105,8 @@
         reason = "--admin: " + admin->lastError();
         return false;
     }
-    boost::system::error_code error;
-    const asio::ip::tcp::endpoint local(asio::ip::make_address(listenHost), listenPort);
-    acceptor.open(local.protocol(), error);
-    acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
-    if (!acceptor.bind(local, error))
-        acceptor.listen(asio::ip::tcp::acceptor::max_listen_connections, error);
-    if (error) {
-        reason = "--listen: cannot listen on " + settings.listen + ": " + error.message();
+    if (!listenOn(acceptor, { "--listen", settings.listen }, reason))
         return false;
-    }
     return agent->start();
 }
 
@@ -199,7 +179,7 @@
 Task<> Sidecar::State::tickLoop()
 {
     while (true) {
-        co_await detail::sleep(traffic.get_executor(), detail::tickInterval);
+        co_await sleepFor(detail::tickInterval);
         tick();
     }
 }
@@ -207,7 +187,7 @@
 Task<> Sidecar::State::ledgerLoop()
 {
     while (true) {
-        co_await detail::sleep(traffic.get_executor(), detail::ledgerInterval);
+        co_await sleepFor(detail::ledgerInterval);
         if (!claims->isIdle())
             claims->tick();
     }
@@ -255,7 +235,7 @@
 {
     while (true) {
         co_await probe();
-        co_await detail::sleep(traffic.get_executor(), settings.probeInterval);
+        co_await sleepFor(settings.probeInterval);
     }
 }
 
@@ -283,7 +263,7 @@
             co_return report->start != endpointStart;
         if (failure == HttpFailure::Connect)
             co_return true;
-        co_await detail::sleep(traffic.get_executor(), detail::deathCheckPause);
+        co_await sleepFor(detail::deathCheckPause);
     }
     co_return true;
 }
@@ -316,9 +296,9 @@
 {
     const TimePoint limit = Clock::now() + settings.drainTimeout;
     // Entries learn of the shutdown by the heartbeat; attempts already on their way are refused.
-    co_await detail::sleep(traffic.get_executor(), heartbeatInterval);
+    co_await sleepFor(heartbeatInterval);
     while (Clock::now() < limit && (!running.empty() || attempts.unfinished() || !claims->isIdle()))
-        co_await detail::sleep(traffic.get_executor(), detail::tickInterval);
+        co_await sleepFor(detail::tickInterval);
     traffic.stop();
 }
 
