--- a/sidecar/attempt-runner.cc
+++ b/sidecar/attempt-runner.cc
@@ -66,18 +66,18 @@
         admit(attempt);
         return;
     }
-    loner = attempt;
-    lonerWaits = true;
+    soloAttempt = attempt;
+    soloWaits = true;
     updateCredits();
-    startLoner();
+    startSolo();
 }
 
-void Sidecar::State::startLoner()
+void Sidecar::State::startSolo()
 {
-    if (!lonerWaits || pool.inFlight() > 1)
+    if (!soloWaits || pool.inFlight() > 1)
         return;
-    lonerWaits = false;
-    admit(loner);
+    soloWaits = false;
+    admit(soloAttempt);
 }
 
 Reason Sidecar::State::poisonReason(Running& attempt, TimePoint now) const
@@ -85,7 +85,7 @@
     const PoisonVerdict verdict = poison.verdict(attempt.open.digest, now);
     if (verdict == PoisonVerdict::Refuse)
         return Reason::Poisoned;
-    if (loner)
+    if (soloAttempt)
         return Reason::OverLimit;
     attempt.alone = attempt.open.alone || verdict == PoisonVerdict::RunAlone;
     return Reason::None;
@@ -261,14 +261,14 @@
 {
     if (!running.erase(attempt->open.id))
         return;
-    if (attempt == loner) {
-        loner = nullptr;
-        lonerWaits = false;
+    if (attempt == soloAttempt) {
+        soloAttempt = nullptr;
+        soloWaits = false;
     }
     if (attempt->counted)
         pool.finish();
     updateCredits();
-    startLoner();
+    startSolo();
 }
 
 } // namespace orioletrail
--- a/sidecar/peer-messages.cc
+++ b/sidecar/peer-messages.cc
@@ -149,7 +149,7 @@
         fail(attempt, Outcome::NotRun, Reason::CallerGone);
         return;
     }
-    if (lonerWaits && attempt == loner) {
+    if (soloWaits && attempt == soloAttempt) {
         fail(attempt, Outcome::NotRun, Reason::CallerGone);
         return;
     }
--- a/sidecar/sidecar.cc
+++ b/sidecar/sidecar.cc
@@ -164,7 +164,7 @@
 void Sidecar::State::updateCredits()
 {
     const uint32_t limit = closedReason(Clock::now()) == Reason::None ? ramp.limit() : 0;
-    pool.setLimit(loner ? std::min(limit, 1U) : limit);
+    pool.setLimit(soloAttempt ? std::min(limit, 1U) : limit);
     for (const CreditChange& change : pool.rebalance()) {
         const auto peer = peers.find(change.connection);
         if (peer == peers.end())
@@ -199,7 +199,7 @@
     attempts.expire(now);
     std::vector<RunningPtr> late;
     for (const auto& [id, attempt] : running)
-        if ((attempt->claiming || (lonerWaits && attempt == loner)) && now >= attempt->deadline)
+        if ((attempt->claiming || (soloWaits && attempt == soloAttempt)) && now >= attempt->deadline)
             late.push_back(attempt);
     for (const RunningPtr& attempt : late) {
         if (attempt->claiming)
--- a/sidecar/state.h
+++ b/sidecar/state.h
@@ -86,7 +86,7 @@
 
     // Running attempts.
     void startOrHold(const RunningPtr&);
-    void startLoner();
+    void startSolo();
     void admit(const RunningPtr&);
     void onClaimed(const RunningPtr&, ClaimResult);
     void replay(const RunningPtr&, const RecordedAnswer&);
@@ -134,8 +134,8 @@
     uint32_t probeFailures = 0;
     PoisonRecords poison;
     // The attempt under suspicion that waits or runs; nothing else is admitted until it ends.
-    RunningPtr loner;
-    bool lonerWaits = false;
+    RunningPtr soloAttempt;
+    bool soloWaits = false;
     // Start number of the endpoint by its last report.
     uint64_t endpointStart = 0;
     bool wasZoneOut = false;
