Close gossip sockets in the background

Cause: failure-network failed once because an entry did not answer for 10 s at its start. Closing an nng socket that connects can wait for ever in nng_close() (nng 1.5.2); entries close clients on the control thread as the list of instances fills, and the thread then hangs.

Ruled out: ports in use, and starting without a configuration (360 entries started, none hung); closing before stopping the operation hangs too.

Change: the operation is stopped first, so that no callback follows, and the socket is closed by a thread of its own.

--- a/transport/gossip.cc
+++ b/transport/gossip.cc
@@ -6,6 +6,7 @@
 #include <nng/nng.h>
 #include <nng/protocol/reqrep0/rep.h>
 #include <nng/protocol/reqrep0/req.h>
+#include <thread>
 
 namespace orioletrail {
 
@@ -19,6 +20,13 @@
         return "tcp://" + std::string(address);
     }
 
+    // In nng 1.5.2, nng_close() can wait for ever when sockets are closed while they connect, so
+    // the caller does not wait for it.
+    void closeInBackground(nng_socket socket)
+    {
+        std::thread([socket] { nng_close(socket); }).detach();
+    }
+
     nng_msg* toNng(const Message& message)
     {
         std::vector<char> frame;
@@ -116,7 +124,7 @@
 GossipServer::~GossipServer()
 {
     m_state->contexts.clear();
-    nng_close(m_state->socket);
+    detail::closeInBackground(m_state->socket);
 }
 
 bool GossipServer::listen(std::string_view address)
@@ -181,9 +189,10 @@
 
 GossipClient::~GossipClient()
 {
+    // No callback runs after this.
     nng_aio_stop(m_state->aio);
-    nng_close(m_state->socket);
     nng_aio_free(m_state->aio);
+    detail::closeInBackground(m_state->socket);
 }
 
 bool GossipClient::call(const Message& message, Handler handler)
