Add a direct entry that finds endpoints in the platform's store

Cause: the platform has plain services without a machine beside them, so requests must reach endpoints without a sidecar; its store has kinds, names, watches and pages, which the client did not speak.

Ruled out: refusals at the endpoints (none are left once callers' patience bounds the wait). Not run yet: the failure tests on the new store format.

--- a/base/types.cc
+++ b/base/types.cc
@@ -13,7 +13,8 @@
         "key-expired", "account-limit", "fair-share", "no-capacity", "no-credit", "over-limit",
         "zone-out", "leaving", "not-probed", "unreachable", "ledger-full",
         "platform-down", "no-configuration", "deadline", "endpoint-died", "endpoint-cut", "connection-lost",
-        "truncated", "poisoned", "caller-gone", "shutting-down"
+        "truncated", "poisoned", "caller-gone", "shutting-down", "endpoint-refused", "wrong-endpoint",
+        "endpoint-failed", "spoiled-answer", "queue-too-long", "no-endpoint"
     };
 
 } // namespace detail
--- a/base/types.h
+++ b/base/types.h
@@ -62,6 +62,18 @@
     Poisoned,
     CallerGone,
     ShuttingDown,
+    // The endpoint rejected the request without running it.
+    EndpointRefused,
+    // Another endpoint has the address.
+    WrongEndpoint,
+    // The endpoint answered with a failure of its own.
+    EndpointFailed,
+    // The answer was not whole, not the endpoint's, or another request's.
+    SpoiledAnswer,
+    // Waiting for a place would make the answer late.
+    QueueTooLong,
+    // No endpoint of the service is open.
+    NoEndpoint,
     Count
 };
 
--- a/cmd/main.cc
+++ b/cmd/main.cc
@@ -1,5 +1,6 @@
 // Command line of orioletrail.
 #include "cmd/ctl.h"
+#include "direct/direct.h"
 #include "entry/entry.h"
 #include "operator/command.h"
 #include "rank/rank.h"
@@ -74,6 +75,14 @@
         addMillis(app, "--drain-timeout", settings.drainTimeout, 0, 3'600'000, "longest wait for requests in progress");
     }
 
+    void addDirect(CLI::App& app, DirectSettings& settings)
+    {
+        app.add_option("--settings-file", settings.settingsFile, "settings file of the platform; by default the one that it passes")->group("Addresses");
+        app.add_option("--metrics-port", settings.metricsPort, "port for metrics, 0 for none")->capture_default_str()->group("Addresses");
+        addMillis(app, "--store-timeout", settings.storeTimeout, 10, 60'000, "timeout of a call to the platform's store");
+        addMillis(app, "--connect-timeout", settings.connectTimeout, 10, 60'000, "timeout of a connection to an endpoint");
+    }
+
     void addSidecar(CLI::App& app, SidecarSettings& settings)
     {
         app.add_option("--name", settings.name, "name of the endpoint")->required();
@@ -157,12 +166,17 @@
         LogLevel level = LogLevel::Info;
         EntrySettings entrySettings;
         SidecarSettings sidecarSettings;
+        DirectSettings directSettings;
         CtlSettings ctlSettings;
         std::string path;
         CLI::App* entry = app.add_subcommand("entry", "accept callers and route their requests");
         addEntry(*entry, entrySettings);
         addCommon(*entry, level);
         addVariables(*entry);
+        CLI::App* direct = app.add_subcommand("direct", "accept callers and send their requests straight to endpoints");
+        addDirect(*direct, directSettings);
+        addCommon(*direct, level);
+        addVariables(*direct);
         CLI::App* sidecar = app.add_subcommand("sidecar", "guard one endpoint");
         addSidecar(*sidecar, sidecarSettings);
         addCommon(*sidecar, level);
@@ -189,6 +203,8 @@
             return runCtl(ctlSettings);
         if (*rank)
             return runDaemon<Rank>(rankSettings, level);
+        if (*direct)
+            return runDaemon<DirectEntry>(directSettings, level);
         return *entry ? runDaemon<Entry>(entrySettings, level) : runDaemon<Sidecar>(sidecarSettings, level);
     }
 
--- a/config/store.cc
+++ b/config/store.cc
@@ -1,6 +1,7 @@
 #include "config/store.h"
 
 #include <algorithm>
+#include <set>
 
 namespace orioletrail {
 
@@ -10,6 +11,8 @@
         m_lastError = "delta starts at revision " + std::to_string(delta.from) + ", replica is at " + std::to_string(m_revision);
         return false;
     }
+    if (!delta.from)
+        dropAbsent(delta);
     for (const ObjectChange& change : delta.changes) {
         ObjectChange& held = m_objects[change.key];
         if (change.revision > held.revision)
@@ -19,6 +22,19 @@
     return true;
 }
 
+void ConfigStore::dropAbsent(const ConfigDelta& complete)
+{
+    std::set<std::string_view> present;
+    for (const ObjectChange& change : complete.changes)
+        present.insert(change.key);
+    for (auto& [key, held] : m_objects) {
+        if (held.deleted || held.revision > complete.to || present.contains(key))
+            continue;
+        held = { key, complete.to, {}, true };
+        m_revision = std::max(m_revision, complete.to);
+    }
+}
+
 ConfigDelta ConfigStore::deltaSince(uint64_t from) const
 {
     ConfigDelta delta { from, m_revision, {} };
--- a/config/store.h
+++ b/config/store.h
@@ -48,6 +48,9 @@
     const std::string& lastError() const { return m_lastError; }
 
 private:
+    // Marks held objects as deleted that a complete delta of a later revision does not have.
+    void dropAbsent(const ConfigDelta& complete);
+
     std::map<std::string, ObjectChange, std::less<>> m_objects;
     uint64_t m_revision = 0;
     std::string m_lastError;
--- /dev/null
+++ b/direct/direct.cc
@@ -0,0 +1,272 @@
+#include "direct/direct.h"
+
+#include "direct/state.h"
+#include "gateway/async.h"
+#include "telemetry/log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+
+namespace orioletrail {
+
+namespace asio = boost::asio;
+
+namespace detail {
+
+    constexpr Millis tickInterval { 50 };
+    // The balancer asks once a second and takes an instance out after two misses.
+    constexpr Millis balancerNotices { 2200 };
+    // New requests are still served for so long after SIGTERM; later ones could not end in time.
+    constexpr Millis servedWhileStopping { 3000 };
+    // Kept between the end of the drain and the end by force.
+    constexpr Millis stopMargin { 500 };
+    // Entries that share an endpoint's cold rate if fewer are known: as many as may be starting.
+    constexpr size_t leastInstances = 4;
+
+} // namespace detail
+
+DirectEntry::DirectEntry(DirectSettings settings)
+    : m_state(std::make_unique<State>(std::move(settings)))
+{
+}
+
+DirectEntry::~DirectEntry() = default;
+
+bool DirectEntry::run()
+{
+    if (!m_state->start(m_lastError))
+        return false;
+    m_state->run();
+    return true;
+}
+
+bool validate(const DirectSettings& settings, std::string& reason)
+{
+    if (!settings.settingsFile.empty() || platformSettingsPath())
+        return true;
+    reason = "--settings-file: the platform has passed no settings file";
+    return false;
+}
+
+DirectEntry::State::State(DirectSettings given)
+    : settings(std::move(given))
+{
+}
+
+bool DirectEntry::State::start(std::string& reason)
+{
+    if (settings.settingsFile.empty())
+        settings.settingsFile = platformSettingsPath().value_or("");
+    const std::optional<PlatformSettings> read = readPlatformSettings(settings.settingsFile, reason);
+    if (!read)
+        return false;
+    platform = *read;
+    const auto storeAddress = parseAddress(platform.store);
+    const auto callersAddress = parseAddress(platform.callers);
+    const auto readinessAddress = parseAddress(platform.readiness);
+    if (!storeAddress || !callersAddress || !readinessAddress) {
+        reason = "the settings name no store, no address for callers or none for readiness";
+        return false;
+    }
+    retries = RetryWindow({ platform.retryRatio, platform.retrySlack / (2 * detail::leastInstances), platform.retryWindow });
+    store = std::make_unique<StoreClient>(controlIo.get_executor(), StoreClientSettings { storeAddress->first, storeAddress->second, settings.storeTimeout }, metrics);
+    keeper = std::make_unique<BeliefKeeper>([this](BeliefSnapshot snapshot) {
+        asio::post(traffic, [this, snapshot = std::move(snapshot)] { onSnapshot(snapshot); });
+    });
+    watcher = std::make_unique<StoreWatcher>(controlIo.get_executor(), *store, *keeper);
+    auto refuseBroken = [this](unsigned status, Reason why) {
+        metrics.countRefusal(why, Outcome::NotRun);
+        return refusalAnswer("", { status, why, Outcome::NotRun, Millis(0) });
+    };
+    callers = std::make_unique<HttpServer>(
+        traffic.get_executor(), HttpLimits {}, [this](const HttpRequest& request, Responder& responder) { return handle(request, responder); }, refuseBroken);
+    auto serveAdmin = [this](const HttpRequest& request, Responder& responder) { return serveReadiness(request, responder); };
+    readiness = std::make_unique<HttpServer>(traffic.get_executor(), HttpLimits {}, serveAdmin, refuseBroken);
+    metricsServer = std::make_unique<HttpServer>(traffic.get_executor(), HttpLimits {}, serveAdmin, refuseBroken);
+    PeerExchange::Hooks hooks;
+    hooks.own = [this] { return ownStatus(); };
+    hooks.heard = [this](PeerStatus status) { onPeer(std::move(status)); };
+    peers = std::make_unique<PeerExchange>(traffic.get_executor(), std::move(hooks));
+    if (!readiness->listen(readinessAddress->first, readinessAddress->second)) {
+        reason = readiness->lastError();
+        return false;
+    }
+    if (settings.metricsPort && !metricsServer->listen(platform.address, settings.metricsPort)) {
+        reason = metricsServer->lastError();
+        return false;
+    }
+    if (platform.firstPeerPort && !peers->start(platform.address + ':' + std::to_string(platform.firstPeerPort))) {
+        reason = peers->lastError();
+        return false;
+    }
+    if (!callers->listen(callersAddress->first, callersAddress->second)) {
+        reason = callers->lastError();
+        return false;
+    }
+    return true;
+}
+
+void DirectEntry::State::run()
+{
+    log(LogLevel::Info, "direct entry started", { { "instance", platform.instance }, { "zone", platform.zone }, { "callers", platform.callers }, { "store", platform.store } });
+    awaitStop();
+    awaitReload();
+    watcher->start();
+    asio::co_spawn(controlIo, joinPeers(), asio::detached);
+    asio::co_spawn(traffic, tickLoop(), asio::detached);
+    controlThread = std::thread([this] { controlIo.run(); });
+    traffic.run();
+    controlIo.stop();
+    controlThread.join();
+    log(LogLevel::Info, "direct entry stopped", { { "instance", platform.instance } });
+}
+
+Task<> DirectEntry::State::joinPeers()
+{
+    if (!platform.firstPeerPort)
+        co_return;
+    const std::string address = platform.address + ':' + std::to_string(platform.firstPeerPort);
+    const std::vector<std::string> others = co_await watcher->registerInstance(platform.instance, address);
+    log(LogLevel::Info, "instance registered", { { "instance", platform.instance }, { "others", std::to_string(others.size()) } });
+    asio::post(traffic, [this, others] {
+        for (const std::string& other : others)
+            peers->add(other);
+    });
+}
+
+void DirectEntry::State::onSnapshot(BeliefSnapshot snapshot)
+{
+    beliefs = std::move(snapshot);
+    const CallerLimits& limits = beliefs.catalog->limits();
+    HttpLimits http;
+    http.headerBytes = limits.headerBytes;
+    http.bodyBytes = limits.bodyBytes;
+    http.receiveTimeout = limits.headerTimeout;
+    http.idleTimeout = limits.idleTimeout;
+    callers->setLimits(http);
+    updateTargets();
+    for (auto& [service, state] : services)
+        wakeWaiting(service);
+}
+
+void DirectEntry::State::updateTargets()
+{
+    std::erase_if(targets, [&](const auto& item) {
+        if (beliefs.endpoints.contains(item.first))
+            return false;
+        health.forget(item.first);
+        loads.forget(item.first);
+        coldLimit.forget(item.first);
+        return true;
+    });
+    for (const auto& [id, record] : beliefs.endpoints) {
+        std::shared_ptr<Target>& target = targets[id];
+        const bool same = target && target->record.born == record.born && target->record.host == record.host && target->record.port == record.port;
+        if (same) {
+            target->record = record;
+            continue;
+        }
+        health.forget(id);
+        target = std::make_shared<Target>();
+        target->record = record;
+        target->client = std::make_shared<HttpClient>(traffic.get_executor(), record.host, record.port);
+    }
+}
+
+PeerStatus DirectEntry::State::ownStatus() const
+{
+    PeerStatus status;
+    status.instance = platform.instance;
+    status.address = platform.address + ':' + std::to_string(platform.firstPeerPort);
+    status.inFlight = loads.ownCounts();
+    return status;
+}
+
+void DirectEntry::State::onPeer(PeerStatus status)
+{
+    for (const auto& [digest, deaths] : status.deaths)
+        poison.merge(digest, deaths, Clock::now());
+    loads.onPeerCounts(status.instance, std::move(status.inFlight), Clock::now());
+    for (auto& [service, state] : services)
+        wakeWaiting(service);
+}
+
+size_t DirectEntry::State::instanceCount() const
+{
+    return std::max(detail::leastInstances, loads.livePeers(Clock::now()) + 1);
+}
+
+Task<> DirectEntry::State::serveReadiness(const HttpRequest& request, Responder& responder)
+{
+    HttpAnswer answer { 404, { { "Content-Type", "text/plain" } }, {} };
+    if (request.path() == readinessPath) {
+        answer.status = beliefs.catalog && !stoppingSince ? 200 : 503;
+    } else if (request.path() == "/metrics") {
+        answer.status = 200;
+        answer.body = metrics.print();
+    }
+    co_await responder.respond(answer);
+}
+
+Task<> DirectEntry::State::tickLoop()
+{
+    while (true) {
+        co_await sleepFor(detail::tickInterval);
+        keeper->tell(TickNews {});
+        for (auto& [service, state] : services)
+            wakeWaiting(service);
+    }
+}
+
+void DirectEntry::State::awaitStop()
+{
+    stopSignals.async_wait([this](boost::system::error_code error, int) {
+        if (!error)
+            shutDown();
+    });
+}
+
+void DirectEntry::State::awaitReload()
+{
+    reloadSignals.async_wait([this](boost::system::error_code error, int) {
+        if (error)
+            return;
+        reload();
+        awaitReload();
+    });
+}
+
+void DirectEntry::State::reload()
+{
+    std::string reason;
+    const std::optional<PlatformSettings> read = readPlatformSettings(settings.settingsFile, reason);
+    if (!read) {
+        log(LogLevel::Error, "settings not reloaded", { { "reason", reason } });
+        return;
+    }
+    platform.stopGrace = read->stopGrace;
+    log(LogLevel::Info, "settings reloaded", { { "instance", platform.instance } });
+}
+
+void DirectEntry::State::shutDown()
+{
+    log(LogLevel::Info, "stopping", { { "instance", platform.instance }, { "inProgress", std::to_string(callers->inProgress()) } });
+    stoppingSince = Clock::now();
+    callers->closeAfterAnswers();
+    asio::co_spawn(traffic, drain(), asio::detached);
+}
+
+Task<> DirectEntry::State::drain()
+{
+    const TimePoint until = *stoppingSince + platform.stopGrace - detail::stopMargin;
+    co_await sleepFor(detail::balancerNotices);
+    while (callers->inProgress() && Clock::now() < until)
+        co_await sleepFor(detail::tickInterval);
+    if (const size_t left = callers->inProgress())
+        log(LogLevel::Warning, "stopped with requests in progress", { { "inProgress", std::to_string(left) } });
+    callers->stopAccepting();
+    traffic.stop();
+}
+
+} // namespace orioletrail
--- /dev/null
+++ b/direct/peers.cc
@@ -0,0 +1,161 @@
+#include "direct/peers.h"
+
+#include "gateway/async.h"
+#include "telemetry/log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+namespace orioletrail {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using asio::ip::udp;
+
+namespace detail {
+
+    // A twentieth of the time that a streamed answer takes, so that few sends go unseen.
+    constexpr Millis statusInterval { 100 };
+    // Some missed rounds of a process that is frozen or cut off.
+    constexpr Millis silentPeerHold { 10'000 };
+    constexpr size_t mostDatagramBytes = 65'000;
+
+    void readCounts(const json::object& object, std::string_view name, std::map<std::string, uint32_t, std::less<>>& counts)
+    {
+        const json::value* field = object.if_contains(name);
+        if (!field || !field->is_object())
+            return;
+        for (const auto& [key, value] : field->get_object()) {
+            boost::system::error_code error;
+            const uint32_t count = value.is_number() ? value.to_number<uint32_t>(error) : 0;
+            if (!error && count)
+                counts.emplace(key, count);
+        }
+    }
+
+    json::object writeCounts(const std::map<std::string, uint32_t, std::less<>>& counts)
+    {
+        json::object object;
+        for (const auto& [key, count] : counts)
+            object.emplace(key, count);
+        return object;
+    }
+
+    std::optional<udp::endpoint> udpEndpoint(std::string_view address)
+    {
+        const auto parsed = parseAddress(address);
+        if (!parsed)
+            return std::nullopt;
+        return udp::endpoint(asio::ip::make_address(parsed->first), parsed->second);
+    }
+
+} // namespace detail
+
+std::string encodePeerStatus(const PeerStatus& status)
+{
+    json::object object;
+    object["instance"] = status.instance;
+    object["address"] = status.address;
+    object["inFlight"] = detail::writeCounts(status.inFlight);
+    if (!status.deaths.empty())
+        object["deaths"] = detail::writeCounts(status.deaths);
+    return json::serialize(object);
+}
+
+std::optional<PeerStatus> decodePeerStatus(std::string_view text)
+{
+    boost::system::error_code error;
+    const json::value value = json::parse(text, error);
+    const json::object* object = error ? nullptr : value.if_object();
+    const json::value* instance = object ? object->if_contains("instance") : nullptr;
+    const json::value* address = object ? object->if_contains("address") : nullptr;
+    if (!instance || !instance->is_string() || !address || !address->is_string())
+        return std::nullopt;
+    PeerStatus status;
+    status.instance = std::string(instance->get_string());
+    status.address = std::string(address->get_string());
+    detail::readCounts(*object, "inFlight", status.inFlight);
+    detail::readCounts(*object, "deaths", status.deaths);
+    return status;
+}
+
+PeerExchange::PeerExchange(asio::any_io_executor executor, Hooks hooks)
+    : m_executor(executor)
+    , m_hooks(std::move(hooks))
+    , m_socket(executor)
+{
+}
+
+bool PeerExchange::start(const std::string& address)
+{
+    m_address = address;
+    const auto endpoint = detail::udpEndpoint(address);
+    boost::system::error_code error;
+    if (!endpoint) {
+        m_lastError = '"' + address + "\" is not an address of the form IP:PORT";
+        return false;
+    }
+    m_socket.open(endpoint->protocol(), error);
+    if (!error)
+        m_socket.bind(*endpoint, error);
+    if (error) {
+        m_lastError = "cannot hear peers on " + address + ": " + error.message();
+        return false;
+    }
+    asio::co_spawn(m_executor, receiveLoop(), asio::detached);
+    asio::co_spawn(m_executor, sendLoop(), asio::detached);
+    return true;
+}
+
+void PeerExchange::add(const std::string& address)
+{
+    const auto endpoint = detail::udpEndpoint(address);
+    if (!endpoint || address == m_address)
+        return;
+    m_peers.insert_or_assign(address, Peer { *endpoint, Clock::now() });
+}
+
+Task<> PeerExchange::sendLoop()
+{
+    while (true) {
+        co_await sleepFor(detail::statusInterval);
+        const TimePoint now = Clock::now();
+        std::erase_if(m_peers, [&](const auto& peer) { return now - peer.second.lastHeard > detail::silentPeerHold; });
+        if (m_peers.empty())
+            continue;
+        const std::string datagram = encodePeerStatus(m_hooks.own());
+        for (const auto& [address, peer] : m_peers) {
+            // A datagram that is lost or refused is made good by the next one.
+            boost::system::error_code ignored;
+            m_socket.send_to(asio::buffer(datagram), peer.endpoint, 0, ignored);
+        }
+    }
+}
+
+Task<> PeerExchange::receiveLoop()
+{
+    std::vector<char> buffer(detail::mostDatagramBytes);
+    while (true) {
+        udp::endpoint from;
+        boost::system::error_code error;
+        const size_t bytes = co_await m_socket.async_receive_from(asio::buffer(buffer), from, asio::redirect_error(asio::use_awaitable, error));
+        if (error == asio::error::operation_aborted)
+            co_return;
+        if (error)
+            continue;
+        std::optional<PeerStatus> status = decodePeerStatus({ buffer.data(), bytes });
+        if (!status) {
+            log(LogLevel::Warning, "unreadable datagram dropped", { { "from", from.address().to_string() } });
+            continue;
+        }
+        if (!m_peers.contains(status->address))
+            log(LogLevel::Info, "peer heard", { { "peer", status->instance }, { "address", status->address } });
+        add(status->address);
+        m_hooks.heard(std::move(*status));
+    }
+}
+
+} // namespace orioletrail
--- /dev/null
+++ b/direct/peers.h
@@ -0,0 +1,64 @@
+// Tells other entries how many requests this one has in flight, by datagrams, and hears theirs.
+#pragma once
+
+#include "gateway/http.h"
+#include "routing/load.h"
+
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <set>
+
+namespace orioletrail {
+
+// What one entry tells the others.
+struct PeerStatus {
+    std::string instance;
+    // IP:PORT at which it hears.
+    std::string address;
+    InFlightCounts inFlight;
+    // Digests of requests that endpoints died with, with the number of deaths.
+    std::map<std::string, uint32_t, std::less<>> deaths;
+};
+
+std::string encodePeerStatus(const PeerStatus&);
+
+// Nothing for bytes that are no status.
+std::optional<PeerStatus> decodePeerStatus(std::string_view);
+
+class PeerExchange {
+public:
+    struct Hooks {
+        // This instance's status, asked for before each round.
+        std::function<PeerStatus()> own;
+        std::function<void(PeerStatus)> heard;
+    };
+
+    PeerExchange(boost::asio::any_io_executor, Hooks);
+
+    // Opens the socket and starts to send. False with lastError() set if the address is taken.
+    bool start(const std::string& address);
+
+    // Adds an entry to send to. One that is not heard of for a while is dropped, and is added
+    // again when it is heard of.
+    void add(const std::string& address);
+
+    const std::string& lastError() const { return m_lastError; }
+
+private:
+    struct Peer {
+        boost::asio::ip::udp::endpoint endpoint;
+        TimePoint lastHeard;
+    };
+
+    Task<> sendLoop();
+    Task<> receiveLoop();
+
+    boost::asio::any_io_executor m_executor;
+    Hooks m_hooks;
+    boost::asio::ip::udp::socket m_socket;
+    std::string m_address;
+    std::map<std::string, Peer, std::less<>> m_peers;
+    std::string m_lastError;
+};
+
+} // namespace orioletrail
--- /dev/null
+++ b/direct/state.h
@@ -0,0 +1,167 @@
+// State of a running direct entry. Everything here lives on the traffic thread unless it says otherwise.
+#pragma once
+
+#include "admission/cold-limit.h"
+#include "admission/pace-limit.h"
+#include "admission/wait-queue.h"
+#include "direct/direct.h"
+#include "direct/keeper.h"
+#include "direct/peers.h"
+#include "direct/watcher.h"
+#include "gateway/events.h"
+#include "platform/dialect.h"
+#include "platform/settings.h"
+#include "retry/poison.h"
+#include "retry/window.h"
+#include "routing/health.h"
+#include "routing/load.h"
+#include "routing/placer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <random>
+#include <thread>
+
+namespace orioletrail {
+
+// An endpoint that requests can be sent to.
+struct Target {
+    EndpointRecord record;
+    std::shared_ptr<HttpClient> client;
+};
+
+// A caller's request on its way.
+struct DirectJob {
+    CallerRequest caller;
+    std::shared_ptr<const Catalog> catalog;
+    const Route* route = nullptr;
+    std::string account;
+    int priority = 0;
+    std::string service;
+    // Identifies the content among requests that endpoints died with.
+    std::string digest;
+    TimePoint received = Clock::now();
+    // The end of the caller's patience or of the route's timeout, whichever is sooner.
+    TimePoint deadline;
+    bool callerGone = false;
+    // Some attempt may have run, whatever became of later ones.
+    bool mayHaveRun = false;
+    // Attempts that were sent, and those of them that the endpoint did not reject.
+    uint32_t attempts = 0;
+    uint32_t accepted = 0;
+    std::vector<std::string> tried;
+    // The head of a streamed answer has been passed on.
+    bool begun = false;
+    EventSplitter events;
+    // The attempt under way.
+    std::shared_ptr<Target> target;
+    std::shared_ptr<HttpCallToken> token;
+    TimePoint lastEventAt;
+    // Ends the wait for a place.
+    std::shared_ptr<boost::asio::steady_timer> wait;
+    Millis waited { 0 };
+};
+
+// What is known of one service beside its endpoints.
+struct ServiceState {
+    WaitQueue queue;
+    PaceLimit pace;
+    PaceProfile profile;
+    // Usual time from the sending of a streamed request to its first event.
+    double firstEventMs = 0;
+};
+
+// How an attempt ended. An answer of the endpoint's that is to be passed on is kept in `answer`.
+struct DirectResult {
+    Outcome outcome = Outcome::MayHaveRun;
+    Reason reason = Reason::None;
+    std::optional<HttpAnswer> answer;
+};
+
+// A refusal to be told to the caller.
+struct DirectRefusal {
+    unsigned status = 503;
+    Reason reason = Reason::None;
+    Outcome outcome = Outcome::NotRun;
+    Millis retryAfter { 0 };
+};
+
+struct DirectEntry::State {
+    explicit State(DirectSettings);
+
+    bool start(std::string& reason);
+    void run();
+
+    // Requests.
+    Task<> handle(const HttpRequest&, Responder&);
+    std::optional<DirectRefusal> resolve(const HttpRequest&, DirectJob&);
+    void chooseService(DirectJob&);
+    Task<> attemptUntilAnswered(const HttpRequest&, Responder&, DirectJob&);
+    // Gives the job a target with a reserved place, or a refusal.
+    Task<std::optional<DirectRefusal>> findPlace(DirectJob&);
+    bool reserve(DirectJob&);
+    Placement place(const DirectJob&, std::vector<std::shared_ptr<Target>>& targets);
+    // True if the service's engines hold as many streams as keep their pace.
+    bool isPaceReached(const std::string& service, const std::vector<std::shared_ptr<Target>>& open);
+    PaceProfile paceProfile(const Route&, const ServiceProfile&) const;
+    double meanStreams(const std::string& service) const;
+    void onEvents(DirectJob&, TimePoint sent);
+    WaitRequest waitRequest(const DirectJob&);
+    bool mayRetry(DirectJob&, const DirectResult&);
+    Task<DirectResult> attempt(const HttpRequest&, Responder&, DirectJob&);
+    DirectResult judge(DirectJob&, const HttpResult&, const EndpointHead&, std::string body);
+    void onAttemptEnded(DirectJob&, const DirectResult&, const HttpResult&, const EndpointHead&);
+    Task<> finish(Responder&, DirectJob&, const DirectResult&);
+    Task<> refuse(Responder&, DirectJob&, const DirectRefusal&);
+    HttpAnswer refusalAnswer(std::string_view requestId, const DirectRefusal&) const;
+    void logEnd(const DirectJob&, unsigned status, Reason, Outcome) const;
+    void wakeWaiting(const std::string& service);
+    bool hasPlace(const std::string& service);
+
+    // Beliefs and peers.
+    void onSnapshot(BeliefSnapshot);
+    void updateTargets();
+    PeerStatus ownStatus() const;
+    void onPeer(PeerStatus);
+    size_t instanceCount() const;
+    Task<> joinPeers();
+
+    // Readiness and metrics.
+    Task<> serveReadiness(const HttpRequest&, Responder&);
+    Task<> tickLoop();
+
+    void shutDown();
+    Task<> drain();
+    void awaitStop();
+    void awaitReload();
+    void reload();
+
+    DirectSettings settings;
+    PlatformSettings platform;
+    Metrics metrics;
+    boost::asio::io_context traffic { 1 };
+    boost::asio::io_context controlIo { 1 };
+    boost::asio::signal_set stopSignals { traffic, SIGTERM, SIGINT };
+    boost::asio::signal_set reloadSignals { traffic, SIGHUP };
+    std::unique_ptr<HttpServer> callers;
+    std::unique_ptr<HttpServer> readiness;
+    std::unique_ptr<HttpServer> metricsServer;
+    std::unique_ptr<StoreClient> store;
+    std::unique_ptr<BeliefKeeper> keeper;
+    std::unique_ptr<StoreWatcher> watcher;
+    std::unique_ptr<PeerExchange> peers;
+    BeliefSnapshot beliefs;
+    std::map<std::string, std::shared_ptr<Target>, std::less<>> targets;
+    std::map<std::string, ServiceState, std::less<>> services;
+    LoadTable loads;
+    EndpointHealth health;
+    ColdLimit coldLimit;
+    RetryWindow retries { RetryWindowSettings {} };
+    PoisonRecords poison;
+    std::mt19937_64 random { std::random_device {}() };
+    // Set at SIGTERM.
+    std::optional<TimePoint> stoppingSince;
+    std::thread controlThread;
+};
+
+} // namespace orioletrail
--- a/fakes/fake.cc
+++ b/fakes/fake.cc
@@ -33,6 +33,7 @@
     };
     HttpLimits limits;
     limits.receiveTimeout = std::chrono::hours(1);
+    limits.idleTimeout = limits.receiveTimeout;
     HttpServer server(m_context.get_executor(), limits, route, [](unsigned status, Reason) { return HttpAnswer { status, {}, {} }; });
     if (!address || !server.listen(address->first, address->second)) {
         std::cerr << "orioletrail-fakes: " << server.lastError() << '\n';
--- a/gateway/client.cc
+++ b/gateway/client.cc
@@ -6,6 +6,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -20,6 +21,11 @@
 namespace detail {
 
     constexpr size_t maxIdleConnections = 256;
+    // An idle connection is given up so long before its peer closes it, so that a request on its
+    // way does not cross the close.
+    constexpr Millis keepAliveMargin { 500 };
+    // Answers to other requests that are dropped before the connection is given up.
+    constexpr int mostStrayAnswers = 4;
     constexpr size_t readBytes = 16 * 1024;
 
     struct PooledStream {
@@ -30,6 +36,9 @@
 
         boost::beast::tcp_stream m_stream;
         boost::beast::flat_buffer m_buffer;
+        TimePoint m_lastUsed = Clock::now();
+        // How long the peer says that it keeps the connection.
+        std::optional<Millis> m_peerKeeps;
     };
 
     using StreamPtr = std::shared_ptr<PooledStream>;
@@ -42,6 +51,9 @@
         constexpr int intervalSeconds = 1;
         constexpr int probes = 3;
         constexpr int on = 1;
+        // Bytes that the other end does not acknowledge; matches the time of the probes.
+        constexpr unsigned unacknowledgedMillis = 3000;
+        setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMillis, sizeof unacknowledgedMillis);
         setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
         setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &idleSeconds, sizeof idleSeconds);
         setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &intervalSeconds, sizeof intervalSeconds);
@@ -73,12 +85,15 @@
     {
     }
 
-    // A kept connection that its peer has not closed, or nothing.
-    detail::StreamPtr takeIdle()
+    // A kept connection that its peer has not closed and on which nothing has arrived, or nothing.
+    detail::StreamPtr takeIdle(Millis maxIdle)
     {
         while (!m_idle.empty()) {
             detail::StreamPtr stream = std::move(m_idle.back());
             m_idle.pop_back();
+            const auto idle = Clock::now() - stream->m_lastUsed;
+            if (idle > maxIdle || (stream->m_peerKeeps && idle + detail::keepAliveMargin > *stream->m_peerKeeps))
+                continue;
             char byte = 0;
             error_code error;
             stream->m_stream.socket().non_blocking(true, error);
@@ -103,8 +118,10 @@
 
     void keep(const detail::StreamPtr& stream)
     {
-        if (m_idle.size() < detail::maxIdleConnections)
-            m_idle.push_back(stream);
+        if (m_idle.size() >= detail::maxIdleConnections)
+            return;
+        stream->m_lastUsed = Clock::now();
+        m_idle.push_back(stream);
     }
 
     asio::any_io_executor m_executor;
@@ -121,8 +138,9 @@
         message.method_string(request.method);
         message.target(request.target);
         for (const auto& [name, value] : request.headers)
-            message.set(name, value);
-        message.set(http::field::host, endpoint.address().to_string() + ":" + std::to_string(endpoint.port()));
+            message.insert(name, value);
+        if (!message.count(http::field::host))
+            message.set(http::field::host, endpoint.address().to_string() + ":" + std::to_string(endpoint.port()));
         message.body() = std::move(request.body);
         message.prepare_payload();
         return message;
@@ -147,19 +165,53 @@
         co_return error_code();
     }
 
+    // Reads the head of the answer that belongs to the request; others before it are dropped.
+    Task<error_code> readHead(PooledStream& stream, std::optional<http::response_parser<http::buffer_body>>& parser, const HttpCall& call)
+    {
+        HttpStreamHooks drop;
+        drop.chunk = [](std::string_view) -> Task<> { co_return; };
+        for (int stray = 0; stray < mostStrayAnswers; ++stray) {
+            parser.emplace();
+            parser->body_limit(boost::none);
+            error_code error;
+            co_await http::async_read_header(stream.m_stream, stream.m_buffer, *parser, asio::redirect_error(asio::use_awaitable, error));
+            if (error)
+                co_return error;
+            // Interim answers (RFC 9110, section 15.2) precede the one that is waited for.
+            if (parser->get().result_int() < 200)
+                continue;
+            if (!call.belongs || call.belongs(parser->get().result_int(), toHeaders(parser->get())))
+                co_return error_code();
+            error = co_await readBody(stream, *parser, drop);
+            if (error || !parser->keep_alive())
+                co_return error ? error : asio::error::eof;
+        }
+        co_return asio::error::invalid_argument;
+    }
+
     Task<error_code> exchange(PooledStream& stream, const http::request<http::string_body>& message,
-        http::response_parser<http::buffer_body>& parser, const HttpStreamHooks& hooks)
+        std::optional<http::response_parser<http::buffer_body>>& parser, const HttpCall& call, const HttpStreamHooks& hooks)
     {
         error_code error;
         co_await http::async_write(stream.m_stream, message, asio::redirect_error(asio::use_awaitable, error));
         if (error)
             co_return error;
-        parser.body_limit(boost::none);
-        co_await http::async_read_header(stream.m_stream, stream.m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        error = co_await readHead(stream, parser, call);
         if (error)
             co_return error;
-        co_await hooks.head(parser.get().result_int(), toHeaders(parser.get()));
-        co_return co_await readBody(stream, parser, hooks);
+        co_await hooks.head(parser->get().result_int(), toHeaders(parser->get()));
+        co_return co_await readBody(stream, *parser, hooks);
+    }
+
+    // The time in "timeout=N" of a Keep-Alive header, if there is one.
+    std::optional<Millis> peerKeeps(std::string_view header)
+    {
+        constexpr std::string_view name = "timeout=";
+        const size_t at = header.find(name);
+        unsigned seconds = 0;
+        if (at == std::string_view::npos || std::from_chars(header.data() + at + name.size(), header.data() + header.size(), seconds).ec != std::errc())
+            return std::nullopt;
+        return std::chrono::seconds(seconds);
     }
 
 } // namespace detail
@@ -175,10 +227,11 @@
 {
     const std::shared_ptr<State> state = m_state;
     HttpResult result;
-    detail::StreamPtr stream = call.reuse ? state->takeIdle() : nullptr;
+    detail::StreamPtr stream = call.reuse ? state->takeIdle(call.maxIdle) : nullptr;
+    result.reused = stream != nullptr;
     if (!stream) {
         error_code error;
-        stream = co_await state->connect(call.timeout, error);
+        stream = co_await state->connect(std::min(call.timeout, call.connectTimeout), error);
         if (error || (call.token && call.token->isCancelled())) {
             result.failure = HttpFailure::Connect;
             co_return result;
@@ -187,19 +240,21 @@
     if (call.token)
         call.token->onCancel([stream] { stream->m_stream.close(); });
     const auto message = detail::toMessage(std::move(call.request), state->m_endpoint);
-    http::response_parser<http::buffer_body> parser;
+    std::optional<http::response_parser<http::buffer_body>> parser;
     stream->m_stream.expires_after(call.timeout);
-    const error_code error = co_await detail::exchange(*stream, message, parser, hooks);
+    const error_code error = co_await detail::exchange(*stream, message, parser, call, hooks);
     if (call.token)
         call.token->onCancel(nullptr);
     if (error) {
         result.failure = detail::failureOf(error, call.token);
         co_return result;
     }
-    result.status = parser.get().result_int();
-    result.headers = detail::toHeaders(parser.get());
+    result.status = parser->get().result_int();
+    result.headers = detail::toHeaders(parser->get());
     stream->m_stream.expires_never();
-    if (parser.keep_alive())
+    stream->m_peerKeeps = detail::peerKeeps(findHeader(result.headers, "Keep-Alive"));
+    // Bytes after the answer belong to no request.
+    if (parser->keep_alive() && !stream->m_buffer.size())
         state->keep(stream);
     co_return result;
 }
--- a/gateway/http.h
+++ b/gateway/http.h
@@ -65,8 +65,10 @@
 struct HttpLimits {
     size_t headerBytes = 16 * 1024;
     size_t bodyBytes = 1024 * 1024;
-    // For a request to arrive whole, and for an idle connection.
+    // For a request to arrive whole, from its first byte on.
     Millis receiveTimeout { 15'000 };
+    // For the first byte of the next request.
+    Millis idleTimeout { 15'000 };
     size_t connections = 10'000;
 };
 
@@ -82,6 +84,12 @@
     // Starts accepting. Returns the bound port, or nothing with lastError() set.
     std::optional<uint16_t> listen(std::string_view address, uint16_t port);
 
+    // Replaces the limits; they bind from the next request of each connection on.
+    void setLimits(const HttpLimits&);
+
+    // Goes on accepting, but closes each connection after its next answer.
+    void closeAfterAnswers();
+
     // Stops accepting. Requests in progress go on; each connection closes after its answer.
     void stopAccepting();
 
@@ -110,6 +118,8 @@
 
 struct HttpResult {
     HttpFailure failure = HttpFailure::None;
+    // The call went over a connection that had served others before.
+    bool reused = false;
     unsigned status = 0;
     HeaderList headers;
     std::string body;
@@ -143,9 +153,15 @@
 struct HttpCall {
     HttpRequest request;
     Millis timeout { 10'000 };
+    Millis connectTimeout { 10'000 };
     // Take an idle connection if there is one. Off for a request that must not run twice,
     // since a reused connection may be closed by the peer while the request is on its way.
     bool reuse = true;
+    // An idle connection that has not been used for longer is closed instead.
+    Millis maxIdle { 60'000 };
+    // False if an answer belongs to another request: it is read and dropped, and the next one is
+    // taken. Unset if every answer is taken.
+    std::function<bool(unsigned status, const HeaderList&)> belongs;
     std::shared_ptr<HttpCallToken> token;
 };
 
--- a/gateway/server.cc
+++ b/gateway/server.cc
@@ -32,12 +32,14 @@
     size_t m_connections = 0;
     size_t m_inProgress = 0;
     bool m_stopping = false;
+    bool m_closing = false;
 };
 
 namespace detail {
 
     constexpr Millis sendTimeout { 30'000 };
     constexpr Millis discardTimeout { 2000 };
+    constexpr size_t firstReadBytes = 4096;
     constexpr size_t discardPieceBytes = 64 * 1024;
     constexpr size_t mostDiscarded = 16 * 1024 * 1024;
 
@@ -203,11 +205,18 @@
     // Serves one request. False if the connection is to be closed.
     Task<bool> serveOne(const ServerState& state, boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer)
     {
+        error_code error;
+        if (!buffer.size()) {
+            stream.expires_after(state->m_limits.idleTimeout);
+            const size_t bytes = co_await stream.async_read_some(buffer.prepare(firstReadBytes), asio::redirect_error(asio::use_awaitable, error));
+            if (error)
+                co_return false;
+            buffer.commit(bytes);
+        }
         http::request_parser<http::string_body> parser;
         parser.header_limit(static_cast<std::uint32_t>(state->m_limits.headerBytes));
         parser.body_limit(state->m_limits.bodyBytes);
         stream.expires_after(state->m_limits.receiveTimeout);
-        error_code error;
         co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             const bool idle = !parser.got_some();
@@ -219,14 +228,14 @@
             co_return false;
         }
         stream.expires_never();
-        const bool keepAlive = parser.get().keep_alive() && !state->m_stopping;
+        const bool keepAlive = parser.get().keep_alive() && !state->m_stopping && !state->m_closing;
         const HttpRequest request = toRequest(parser.release());
         auto responder = std::make_shared<SocketResponder>(stream, keepAlive);
         ++state->m_inProgress;
         co_await state->m_handler(request, *responder);
         --state->m_inProgress;
         responder->finish();
-        co_return responder->keepsConnection() && !state->m_stopping;
+        co_return responder->keepsConnection() && !state->m_stopping && !state->m_closing;
     }
 
     Task<> serve(ServerState state, tcp::socket socket)
@@ -288,6 +297,16 @@
     return acceptor.local_endpoint().port();
 }
 
+void HttpServer::setLimits(const HttpLimits& limits)
+{
+    m_state->m_limits = limits;
+}
+
+void HttpServer::closeAfterAnswers()
+{
+    m_state->m_closing = true;
+}
+
 void HttpServer::stopAccepting()
 {
     m_state->m_stopping = true;
--- /dev/null
+++ b/retry/window.cc
@@ -0,0 +1,36 @@
+#include "retry/window.h"
+
+namespace orioletrail {
+
+void RetryWindow::onRequest(std::string_view name, TimePoint now)
+{
+    Service& service = serviceOf(name);
+    dropOld(service, now);
+    service.requests.push_back(now);
+}
+
+bool RetryWindow::tryRetry(std::string_view name, TimePoint now)
+{
+    Service& service = serviceOf(name);
+    dropOld(service, now);
+    const double allowed = m_settings.ratio * static_cast<double>(service.requests.size()) + m_settings.slack;
+    if (static_cast<double>(service.retries.size() + 1) > allowed)
+        return false;
+    service.retries.push_back(now);
+    return true;
+}
+
+RetryWindow::Service& RetryWindow::serviceOf(std::string_view name)
+{
+    const auto found = m_services.find(name);
+    return found == m_services.end() ? m_services[std::string(name)] : found->second;
+}
+
+void RetryWindow::dropOld(Service& service, TimePoint now) const
+{
+    for (std::deque<TimePoint>* times : { &service.requests, &service.retries })
+        while (!times->empty() && times->front() + m_settings.window <= now)
+            times->pop_front();
+}
+
+} // namespace orioletrail
