Lead expert maps from an entry

Cause: with the map that engines start with, the most loaded rank has 3.46 times the mean, so passes take 108 ms with 8 streams a rank and nearly all streams are late.

Change: one entry leads by a conditional write to the store, reads what was chosen from a few ranks, plans maps whose ranks share evenly, and has the engines change by prepare, hold, arm and go. A trial on the engines showed that their order count does not rise with these orders and that only accepted orders record a fence, so fences and versions come from one rising number.

--- a/direct/direct.cc
+++ b/direct/direct.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 namespace orioletrail {
 
@@ -15,10 +16,13 @@
 namespace detail {
 
     constexpr Millis tickInterval { 50 };
+    constexpr Millis expiryInterval { 500 };
+    // Some missed rounds of status messages.
+    constexpr Millis peerAlive { 500 };
+    // Fences and map versions that one lead may use.
+    constexpr uint64_t numbersPerLead = 65'536;
     // The balancer asks once a second and takes an instance out after two misses.
     constexpr Millis balancerNotices { 2200 };
-    // New requests are still served for so long after SIGTERM; later ones could not end in time.
-    constexpr Millis servedWhileStopping { 3000 };
     // Kept between the end of the drain and the end by force.
     constexpr Millis stopMargin { 500 };
     // Entries that share an endpoint's cold rate if fewer are known: as many as may be starting.
@@ -88,6 +92,7 @@
     hooks.own = [this] { return ownStatus(); };
     hooks.heard = [this](PeerStatus status) { onPeer(std::move(status)); };
     peers = std::make_unique<PeerExchange>(traffic.get_executor(), std::move(hooks));
+    startMaps();
     if (!readiness->listen(readinessAddress->first, readinessAddress->second)) {
         reason = readiness->lastError();
         return false;
@@ -174,12 +179,47 @@
     }
 }
 
+void DirectEntry::State::startMaps()
+{
+    MapDriver::Hooks hooks;
+    hooks.engines = [this] {
+        std::map<std::string, std::vector<EngineAccess>> engines;
+        for (const auto& [id, target] : targets) {
+            const ServiceProfile* service = beliefs.catalog ? beliefs.catalog->findService(target->record.service) : nullptr;
+            if (service && service->engine && service->engine->expertSets)
+                engines[service->name].push_back({ id, target->client });
+        }
+        return engines;
+    };
+    hooks.profile = [this](const std::string& name) -> const EngineProfile* {
+        const ServiceProfile* service = beliefs.catalog ? beliefs.catalog->findService(name) : nullptr;
+        return service && service->engine ? &*service->engine : nullptr;
+    };
+    hooks.claim = [this] { return claimLead(); };
+    hooks.isFirst = [this] {
+        const TimePoint now = Clock::now();
+        return std::none_of(peersHeard.begin(), peersHeard.end(), [&](const auto& peer) {
+            return peer.first < platform.instance && now - peer.second < detail::peerAlive;
+        });
+    };
+    maps = std::make_unique<MapDriver>(traffic.get_executor(), MapDriverSettings {}, std::move(hooks), metrics);
+}
+
+Task<std::optional<uint64_t>> DirectEntry::State::claimLead()
+{
+    const std::optional<uint64_t> revision = co_await asio::co_spawn(controlIo, watcher->takeLease("expert-maps", platform.instance), asio::use_awaitable);
+    if (!revision)
+        co_return std::nullopt;
+    co_return *revision * detail::numbersPerLead;
+}
+
 PeerStatus DirectEntry::State::ownStatus() const
 {
     PeerStatus status;
     status.instance = platform.instance;
     status.address = platform.address + ':' + std::to_string(platform.firstPeerPort);
     status.inFlight = loads.ownCounts();
+    status.leading = maps->isLeading();
     return status;
 }
 
@@ -187,6 +227,9 @@
 {
     for (const auto& [digest, deaths] : status.deaths)
         poison.merge(digest, deaths, Clock::now());
+    peersHeard.insert_or_assign(status.instance, Clock::now());
+    if (status.leading)
+        maps->onLeaderHeard(Clock::now());
     loads.onPeerCounts(status.instance, std::move(status.inFlight), Clock::now());
     for (auto& [service, state] : services)
         wakeWaiting(service);
@@ -211,9 +254,15 @@
 
 Task<> DirectEntry::State::tickLoop()
 {
+    TimePoint expired;
     while (true) {
         co_await sleepFor(detail::tickInterval);
-        keeper->tell(TickNews {});
+        const TimePoint now = Clock::now();
+        maps->tick(now);
+        if (now - expired >= detail::expiryInterval) {
+            expired = now;
+            keeper->tell(TickNews {});
+        }
         for (auto& [service, state] : services)
             wakeWaiting(service);
     }
@@ -253,6 +302,7 @@
 {
     log(LogLevel::Info, "stopping", { { "instance", platform.instance }, { "inProgress", std::to_string(callers->inProgress()) } });
     stoppingSince = Clock::now();
+    maps->stop();
     callers->closeAfterAnswers();
     asio::co_spawn(traffic, drain(), asio::detached);
 }
--- a/direct/peers.cc
+++ b/direct/peers.cc
@@ -60,6 +60,8 @@
     object["instance"] = status.instance;
     object["address"] = status.address;
     object["inFlight"] = detail::writeCounts(status.inFlight);
+    if (status.leading)
+        object["leading"] = true;
     if (!status.deaths.empty())
         object["deaths"] = detail::writeCounts(status.deaths);
     return json::serialize(object);
@@ -77,6 +79,8 @@
     PeerStatus status;
     status.instance = std::string(instance->get_string());
     status.address = std::string(address->get_string());
+    const json::value* leading = object->if_contains("leading");
+    status.leading = leading && leading->is_bool() && leading->get_bool();
     detail::readCounts(*object, "inFlight", status.inFlight);
     detail::readCounts(*object, "deaths", status.deaths);
     return status;
--- a/direct/peers.h
+++ b/direct/peers.h
@@ -16,6 +16,8 @@
     // IP:PORT at which it hears.
     std::string address;
     InFlightCounts inFlight;
+    // It leads the expert maps.
+    bool leading = false;
     // Digests of requests that endpoints died with, with the number of deaths.
     std::map<std::string, uint32_t, std::less<>> deaths;
 };
--- a/direct/state.h
+++ b/direct/state.h
@@ -6,6 +6,7 @@
 #include "admission/wait-queue.h"
 #include "direct/direct.h"
 #include "direct/keeper.h"
+#include "direct/map-driver.h"
 #include "direct/peers.h"
 #include "direct/watcher.h"
 #include "gateway/events.h"
@@ -125,6 +126,9 @@
     void onPeer(PeerStatus);
     size_t instanceCount() const;
     Task<> joinPeers();
+    void startMaps();
+    // Takes the lead of the expert maps, on the control thread and back.
+    Task<std::optional<uint64_t>> claimLead();
 
     // Readiness and metrics.
     Task<> serveReadiness(const HttpRequest&, Responder&);
@@ -150,6 +154,9 @@
     std::unique_ptr<BeliefKeeper> keeper;
     std::unique_ptr<StoreWatcher> watcher;
     std::unique_ptr<PeerExchange> peers;
+    std::unique_ptr<MapDriver> maps;
+    // Instances heard of, with the time of the latest status.
+    std::map<std::string, TimePoint, std::less<>> peersHeard;
     BeliefSnapshot beliefs;
     std::map<std::string, std::shared_ptr<Target>, std::less<>> targets;
     std::map<std::string, ServiceState, std::less<>> services;
--- a/direct/watcher.cc
+++ b/direct/watcher.cc
@@ -20,6 +20,7 @@
     // Bounds the time to notice that the store is back.
     constexpr Millis mostPause { 400 };
     constexpr std::string_view instanceKind = "orioletrail-entries";
+    constexpr std::string_view leaseKind = "orioletrail-leases";
 
     Millis jittered(Millis pause)
     {
@@ -154,6 +155,27 @@
     co_return replaced.status == StoreStatus::Ok;
 }
 
+Task<std::optional<uint64_t>> StoreWatcher::takeLease(std::string lease, std::string instance)
+{
+    // A number of its own for each write, since one that changes nothing gets no new revision.
+    static thread_local std::mt19937_64 random { std::random_device {}() };
+    boost::json::object fields { { "holder", instance }, { "write", random() } };
+    boost::json::value content(std::move(fields));
+    const StoreReply held = co_await m_store.get(std::string(detail::leaseKind), lease);
+    StoreReply written;
+    if (held.status == StoreStatus::NotFound)
+        written = co_await m_store.create(std::string(detail::leaseKind), lease, std::move(content));
+    else if (held.status == StoreStatus::Ok)
+        written = co_await m_store.replace(std::string(detail::leaseKind), lease, std::move(content), held.object.revision);
+    else
+        written.status = held.status;
+    log(LogLevel::Info, "lease", { { "lease", lease }, { "status", std::string(storeStatusName(written.status)) }, { "revision", std::to_string(written.object.revision) } });
+    // A write that changes nothing has the revision of an earlier one.
+    if (written.status != StoreStatus::Ok || written.object.revision <= held.object.revision)
+        co_return std::nullopt;
+    co_return written.object.revision;
+}
+
 Task<std::vector<std::string>> StoreWatcher::registerInstance(std::string name, std::string address)
 {
     Millis pause = detail::leastPause;
--- a/direct/watcher.h
+++ b/direct/watcher.h
@@ -17,6 +17,10 @@
     // registered. Goes on until the store has answered.
     Task<std::vector<std::string>> registerInstance(std::string name, std::string address);
 
+    // Writes this instance's name to the lease of that name. The revision of the write rises with
+    // each holder. Nothing if another instance wrote at the same time or nothing is known.
+    Task<std::optional<uint64_t>> takeLease(std::string lease, std::string instance);
+
 private:
     struct Kind {
         std::string name;
--- a/directory/catalog.h
+++ b/directory/catalog.h
@@ -59,6 +59,14 @@
     double contextMsPerThousand = 0;
     double promptTokensPerSecond = 0;
     double pairsMsPerMillion = 0;
+    // Age of what an engine reports of itself to other machines.
+    Millis reportLag { 0 };
+    // Sets of layers, experts of each, experts of a set that a rank holds and that may be new to
+    // it in one change of the map; 0 if there are no expert maps.
+    uint32_t expertSets = 0;
+    uint32_t experts = 0;
+    uint32_t expertPlaces = 0;
+    uint32_t expertsPerChange = 0;
     double usualPromptTokens = 0;
     double usualAnswerTokens = 0;
 };
--- /dev/null
+++ b/expertmap/engine-map-test.cc
@@ -0,0 +1,74 @@
+#include "expertmap/engine-map.h"
+
+#include <algorithm>
+#include <cmath>
+#include <doctest/doctest.h>
+#include <numeric>
+#include <random>
+
+using namespace orioletrail;
+
+namespace {
+
+constexpr uint32_t sets = 4;
+constexpr uint32_t experts = 72;
+constexpr uint32_t ranks = 12;
+constexpr MapLimits limits { 8, 3 };
+
+// Token counts of which a few experts get most, in an order of their own in each set.
+ExpertCounts skewedCounts(uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    ExpertCounts counts;
+    for (uint32_t set = 0; set < sets; ++set) {
+        std::vector<double> loads(experts);
+        for (uint32_t i = 0; i < experts; ++i)
+            loads[i] = 1e5 / std::pow(i + 1, 1.3);
+        std::shuffle(loads.begin(), loads.end(), random);
+        counts.push_back(std::move(loads));
+    }
+    return counts;
+}
+
+} // namespace
+
+TEST_CASE("an improved map is nearly even and keeps the limits")
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        const ExpertCounts counts = skewedCounts(seed);
+        const ExpertMap before = startingMap(sets, experts, ranks);
+        const ExpertMap after = improveMap(before, counts, limits);
+        std::string reason;
+        REQUIRE_MESSAGE(isValidMap(after, experts, limits, reason), reason);
+        CHECK(mapUnevenness(before, counts) > 2.5);
+        // The hottest expert has 31% of the tokens: four copies come to 7.8%, and a rank's even
+        // share is 8.3%.
+        CHECK(mapUnevenness(after, counts) < 1.1);
+        for (uint32_t set = 0; set < sets; ++set)
+            for (uint32_t rank = 0; rank < ranks; ++rank) {
+                ExpertMap one { { { after.experts[set][rank] } } };
+                ExpertMap other { { { before.experts[set][rank] } } };
+                CHECK(countCopies(other, one) <= limits.newPerChange);
+            }
+    }
+}
+
+TEST_CASE("a map that is even already is left alone")
+{
+    const ExpertMap before = startingMap(sets, experts, ranks);
+    const ExpertCounts counts(sets, std::vector<double>(experts, 100));
+    CHECK(improveMap(before, counts, limits) == before);
+    CHECK(improveMap(before, ExpertCounts(sets, std::vector<double>(experts)), limits) == before);
+}
+
+TEST_CASE("a few changes follow a popularity that has moved elsewhere")
+{
+    const ExpertCounts first = skewedCounts(1);
+    const ExpertCounts second = skewedCounts(2);
+    ExpertMap map = improveMap(startingMap(sets, experts, ranks), first, limits);
+    CHECK(mapUnevenness(map, second) > 1.5);
+    for (int change = 0; change < 2; ++change)
+        map = improveMap(map, second, limits);
+    CHECK(mapUnevenness(map, second) < 1.1);
+}
--- /dev/null
+++ b/expertmap/engine-map.h
@@ -0,0 +1,50 @@
+// Expert maps as engines take them: the experts of each rank, by set of layers. The ranks that
+// hold an expert share its tokens evenly.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace orioletrail {
+
+struct ExpertMap {
+    // Experts by set and rank, in rising order.
+    std::vector<std::vector<std::vector<uint32_t>>> experts;
+
+    bool operator==(const ExpertMap&) const = default;
+};
+
+// What a change may do to a map.
+struct MapLimits {
+    // Experts that a rank holds of one set.
+    uint32_t places = 0;
+    // Experts of one set that are new to a rank in one change.
+    uint32_t newPerChange = 0;
+};
+
+// Token counts by set and expert.
+using ExpertCounts = std::vector<std::vector<double>>;
+
+// The map that engines start with: expert e on rank e modulo the number of ranks.
+ExpertMap startingMap(uint32_t sets, uint32_t experts, uint32_t ranks);
+
+// Largest rank load over the mean, for one set; 1 for a set without counts.
+double mapUnevenness(const std::vector<std::vector<uint32_t>>& ranks, std::span<const double> counts);
+
+// Mean over all sets of the largest rank load over the mean: what a pass costs against an even one.
+double mapUnevenness(const ExpertMap&, const ExpertCounts&);
+
+// Experts that `after` adds to ranks of `before`: weights to be copied.
+uint32_t countCopies(const ExpertMap& before, const ExpertMap& after);
+
+// A map whose largest rank loads are lower, made from the given one by single copies, moves and
+// evictions within the limits.
+ExpertMap improveMap(const ExpertMap&, const ExpertCounts&, const MapLimits&);
+
+// False, with `reason` set, if an expert is on no rank or a rank holds more than it has places for.
+bool isValidMap(const ExpertMap&, uint32_t experts, const MapLimits&, std::string& reason);
+
+} // namespace orioletrail
--- /dev/null
+++ b/expertmap/map-leader.cc
@@ -0,0 +1,365 @@
+#include "expertmap/map-leader.h"
+
+#include <algorithm>
+#include <array>
+
+namespace orioletrail {
+
+namespace detail {
+
+    // Rank at which the group is held during a change.
+    constexpr uint32_t holdRank = 0;
+    // Weight of the latest passes in the moving average of their rate.
+    constexpr double latestPace = 0.3;
+
+    constexpr std::array<std::string_view, 5> orderNames = { "prepare", "arm", "disarm", "hold", "go" };
+    constexpr std::array<std::string_view, 8> phaseNames = { "idle", "fencing", "settling", "ready", "preparing", "holding", "arming", "switching" };
+
+} // namespace detail
+
+std::string_view mapOrderName(MapOrderKind kind)
+{
+    return detail::orderNames[static_cast<size_t>(kind)];
+}
+
+std::string_view mapPhaseName(MapPhase phase)
+{
+    return detail::phaseNames[static_cast<size_t>(phase)];
+}
+
+MapLeader::MapLeader(const MapLeaderSettings& settings, const MapLeaderRules& rules)
+    : m_settings(settings)
+    , m_rules(rules)
+    , m_ranks(settings.ranks)
+{
+}
+
+void MapLeader::lead(uint64_t base, TimePoint now)
+{
+    m_next = base;
+    startOver("began to lead", now);
+}
+
+void MapLeader::resign()
+{
+    m_phase = MapPhase::Idle;
+}
+
+std::shared_ptr<const ExpertMap> MapLeader::mapOf(uint64_t version) const
+{
+    return m_lastMap && version == m_lastVersion ? m_lastMap : nullptr;
+}
+
+void MapLeader::enter(MapPhase phase, TimePoint now)
+{
+    m_phase = phase;
+    m_entered = now;
+    for (Rank& rank : m_ranks) {
+        rank.accepted = false;
+        rank.inFlight = false;
+    }
+}
+
+void MapLeader::startOver(std::string reason, TimePoint now)
+{
+    m_lastReason = std::move(reason);
+    m_fence = ++m_next;
+    enter(MapPhase::Fencing, now);
+    if (!m_rules.fenceFirst) {
+        m_reportsFrom = now;
+        enter(MapPhase::Settling, now);
+    }
+}
+
+MapOrder MapLeader::make(MapOrderKind kind, uint32_t rank) const
+{
+    MapOrder order;
+    order.kind = kind;
+    order.rank = rank;
+    order.epoch = m_epoch;
+    order.fence = m_fence;
+    return order;
+}
+
+std::optional<MapOrder> MapLeader::orderFor(uint32_t rank) const
+{
+    MapOrder order;
+    switch (m_phase) {
+    case MapPhase::Idle:
+        return std::nullopt;
+    case MapPhase::Fencing:
+        // Ranks refuse orders for another epoch, so it has to be known.
+        if (!m_epoch)
+            return std::nullopt;
+        // Disarms a version that no rank has: does nothing but show the fence.
+        order = make(MapOrderKind::Disarm, rank);
+        order.version = m_fence;
+        return order;
+    case MapPhase::Settling:
+        return settleOrder(rank);
+    case MapPhase::Ready: {
+        // A copy of an order that held the group came late.
+        const auto& report = m_ranks[rank].report;
+        if (!report || !report->held)
+            return std::nullopt;
+        order = make(MapOrderKind::Go, rank);
+        order.step = *report->held;
+        return order;
+    }
+    case MapPhase::Preparing:
+        order = make(MapOrderKind::Prepare, rank);
+        order.version = m_target;
+        order.map = m_map;
+        return order;
+    case MapPhase::Holding:
+    case MapPhase::Switching:
+        if (rank != detail::holdRank)
+            return std::nullopt;
+        order = make(m_phase == MapPhase::Holding ? MapOrderKind::Hold : MapOrderKind::Go, rank);
+        order.step = m_step;
+        return order;
+    case MapPhase::Arming:
+        order = make(MapOrderKind::Arm, rank);
+        order.version = m_target;
+        order.step = m_step;
+        return order;
+    }
+    return std::nullopt;
+}
+
+std::optional<MapOrder> MapLeader::settleOrder(uint32_t rank) const
+{
+    if (!hasFreshReports())
+        return std::nullopt;
+    const RankReport& report = *m_ranks[rank].report;
+    const size_t armed = armedCount();
+    const bool complete = isArmedAlike() && m_rules.completeArmed;
+    if (armed && !complete) {
+        if (!report.armed)
+            return std::nullopt;
+        MapOrder order = make(MapOrderKind::Disarm, rank);
+        order.version = report.armed->first;
+        if (m_rules.goLast || !report.held)
+            return order;
+    }
+    if (!report.held)
+        return std::nullopt;
+    MapOrder order = make(MapOrderKind::Go, rank);
+    order.step = *report.held;
+    return order;
+}
+
+std::vector<MapOrder> MapLeader::orders(TimePoint now)
+{
+    std::vector<MapOrder> orders;
+    const bool isChange = m_phase >= MapPhase::Preparing && m_phase < MapPhase::Switching;
+    if (isChange && now - m_changeStarted > m_settings.changeTimeout)
+        startOver("the change took too long", now);
+    addOrders(orders, now);
+    return orders;
+}
+
+void MapLeader::addOrders(std::vector<MapOrder>& orders, TimePoint now)
+{
+    for (uint32_t rank = 0; rank < m_ranks.size(); ++rank) {
+        Rank& state = m_ranks[rank];
+        if (state.accepted || state.inFlight || now - state.sentAt < (state.sentAt >= m_entered ? m_settings.resendAfter : Millis(0)))
+            continue;
+        std::optional<MapOrder> order = orderFor(rank);
+        if (!order)
+            continue;
+        state.inFlight = true;
+        state.sentAt = now;
+        orders.push_back(std::move(*order));
+    }
+}
+
+bool MapLeader::wantsReports(TimePoint now) const
+{
+    if (m_phase == MapPhase::Idle)
+        return false;
+    return now - m_reportsAsked >= (m_phase == MapPhase::Ready ? m_settings.idleReports : m_settings.resendAfter / 2);
+}
+
+void MapLeader::onReport(const RankReport& report, TimePoint asked, TimePoint now)
+{
+    if (m_phase == MapPhase::Idle || report.rank >= m_ranks.size())
+        return;
+    Rank& rank = m_ranks[report.rank];
+    if (rank.report && (asked < rank.asked || report.epoch < rank.report->epoch))
+        return;
+    if (report.rank == detail::holdRank && rank.report)
+        notePace(*rank.report, rank.asked, report, asked);
+    rank.report = report;
+    rank.asked = asked;
+    // A copy of the order to hold came after the one to go.
+    if (m_phase == MapPhase::Switching && report.held == m_step && asked >= rank.sentAt + m_settings.reportLag)
+        rank.accepted = false;
+    if (report.epoch > m_epoch) {
+        m_epoch = report.epoch;
+        m_step = 0;
+        startOver("the group was formed anew", now);
+        return;
+    }
+    advance(now);
+}
+
+void MapLeader::onAnswer(const MapOrder& order, OrderAnswer answer, TimePoint now)
+{
+    if (order.fence != m_fence || m_phase == MapPhase::Idle || order.rank >= m_ranks.size())
+        return;
+    if (answer == OrderAnswer::Fenced) {
+        m_lastReason = "another process leads";
+        resign();
+        return;
+    }
+    Rank& rank = m_ranks[order.rank];
+    const std::optional<MapOrder> expected = orderFor(order.rank);
+    const bool isPresent = expected && expected->kind == order.kind && expected->version == order.version && expected->step == order.step;
+    if (!isPresent)
+        return;
+    rank.inFlight = false;
+    if (answer == OrderAnswer::Unknown)
+        return;
+    if (answer == OrderAnswer::Accepted) {
+        if (m_phase == MapPhase::Settling || m_phase == MapPhase::Ready) {
+            // Reports have to show what the order did before another one follows.
+            m_reportsFrom = now + m_settings.reportLag;
+            if (rank.report && order.kind == MapOrderKind::Go)
+                rank.report->held.reset();
+            return;
+        }
+        rank.accepted = true;
+        advance(now);
+        return;
+    }
+    // A conflict: while the group is held, what was begun has to be undone.
+    if (m_phase == MapPhase::Holding) {
+        if (rank.report && rank.report->held)
+            startOver("a rank is held for another pass", now);
+        else
+            chooseStep();
+        return;
+    }
+    if (m_phase == MapPhase::Preparing || m_phase == MapPhase::Arming)
+        startOver(std::string(mapOrderName(order.kind)) + " does not fit rank " + std::to_string(order.rank), now);
+}
+
+bool MapLeader::allAccepted() const
+{
+    return std::all_of(m_ranks.begin(), m_ranks.end(), [](const Rank& rank) { return rank.accepted; });
+}
+
+bool MapLeader::hasFreshReports() const
+{
+    return std::all_of(m_ranks.begin(), m_ranks.end(), [&](const Rank& rank) {
+        return rank.report && rank.report->epoch == m_epoch && rank.report->open && (rank.asked >= m_reportsFrom || !m_rules.waitForReports);
+    });
+}
+
+size_t MapLeader::armedCount() const
+{
+    return static_cast<size_t>(std::count_if(m_ranks.begin(), m_ranks.end(), [](const Rank& rank) { return rank.report && rank.report->armed; }));
+}
+
+bool MapLeader::isArmedAlike() const
+{
+    const auto& first = m_ranks.front().report;
+    return first && first->armed && std::all_of(m_ranks.begin(), m_ranks.end(), [&](const Rank& rank) { return rank.report && rank.report->armed == first->armed; });
+}
+
+bool MapLeader::isAnyHeld() const
+{
+    return std::any_of(m_ranks.begin(), m_ranks.end(), [](const Rank& rank) { return rank.report && rank.report->held; });
+}
+
+uint64_t MapLeader::latestStep() const
+{
+    uint64_t latest = 0;
+    for (const Rank& rank : m_ranks)
+        latest = std::max(latest, rank.report ? rank.report->step : 0);
+    return latest;
+}
+
+void MapLeader::notePace(const RankReport& before, TimePoint askedBefore, const RankReport& after, TimePoint asked)
+{
+    const double seconds = std::chrono::duration<double>(asked - askedBefore).count();
+    if (before.epoch != after.epoch || after.step < before.step || seconds <= 0)
+        return;
+    m_passesPerSecond += detail::latestPace * (static_cast<double>(after.step - before.step) / seconds - m_passesPerSecond);
+}
+
+void MapLeader::chooseStep()
+{
+    // Two round trips of orders come on top of the report's lag.
+    const double ahead = m_passesPerSecond * std::chrono::duration<double>(m_settings.reportLag + m_settings.orderTime).count();
+    m_step = std::max(m_step + 1, latestStep() + m_settings.leastPassesAhead + static_cast<uint64_t>(ahead));
+}
+
+void MapLeader::settle(TimePoint now)
+{
+    if (!hasFreshReports() || armedCount() || isAnyHeld())
+        return;
+    const uint64_t version = m_ranks.front().report->version;
+    if (!std::all_of(m_ranks.begin(), m_ranks.end(), [&](const Rank& rank) { return rank.report->version == version; }))
+        return;
+    m_version = version;
+    enter(MapPhase::Ready, now);
+}
+
+void MapLeader::advance(TimePoint now)
+{
+    switch (m_phase) {
+    case MapPhase::Idle:
+    case MapPhase::Ready:
+        return;
+    case MapPhase::Fencing:
+        if (!allAccepted())
+            return;
+        m_reportsFrom = now + m_settings.reportLag;
+        enter(MapPhase::Settling, now);
+        return;
+    case MapPhase::Settling:
+        settle(now);
+        return;
+    case MapPhase::Preparing: {
+        const bool prepared = std::all_of(m_ranks.begin(), m_ranks.end(), [&](const Rank& rank) { return rank.report && rank.report->epoch == m_epoch && rank.report->prepared == m_target; });
+        if (!allAccepted() || !prepared)
+            return;
+        chooseStep();
+        enter(m_rules.holdFirst ? MapPhase::Holding : MapPhase::Arming, now);
+        return;
+    }
+    case MapPhase::Holding:
+        if (m_ranks[detail::holdRank].accepted)
+            enter(MapPhase::Arming, now);
+        return;
+    case MapPhase::Arming:
+        if (!allAccepted() && m_rules.goLast)
+            return;
+        enter(MapPhase::Switching, now);
+        return;
+    case MapPhase::Switching: {
+        const bool switched = std::all_of(m_ranks.begin(), m_ranks.end(), [&](const Rank& rank) { return rank.report && rank.report->epoch == m_epoch && rank.report->version == m_target; });
+        if (!switched)
+            return;
+        m_version = m_lastVersion = m_target;
+        m_lastMap = m_map;
+        m_lastReason.clear();
+        enter(MapPhase::Ready, now);
+        return;
+    }
+    }
+}
+
+void MapLeader::change(ExpertMap target, TimePoint now)
+{
+    if (m_phase != MapPhase::Ready)
+        return;
+    m_map = std::make_shared<const ExpertMap>(std::move(target));
+    m_target = m_rules.freshVersions ? ++m_next : m_next + 1;
+    m_changeStarted = now;
+    enter(MapPhase::Preparing, now);
+}
+
+} // namespace orioletrail
--- a/expertmap/planner.cc
+++ b/expertmap/planner.cc
@@ -4,21 +4,6 @@
 
 namespace orioletrail {
 
-namespace detail {
-
-    bool hasShifted(const std::vector<double>& forecast, const std::vector<double>& counts, double share)
-    {
-        double total = 0;
-        double elsewhere = 0;
-        for (size_t expert = 0; expert < counts.size(); ++expert) {
-            total += counts[expert];
-            elsewhere += std::max(0.0, counts[expert] - forecast[expert]);
-        }
-        return elsewhere > share * total;
-    }
-
-} // namespace detail
-
 std::string_view planReasonName(PlanReason reason)
 {
     switch (reason) {
@@ -41,7 +26,7 @@
 std::optional<Plan> Planner::plan(std::span<const std::vector<double>> counts, std::string& reason)
 {
     Plan plan;
-    forecast(counts);
+    m_forecast.update({ counts.begin(), counts.end() });
     if (!fits(counts))
         m_layers.clear();
     if (m_layers.empty()) {
@@ -81,23 +66,10 @@
     return true;
 }
 
-void Planner::forecast(std::span<const std::vector<double>> counts)
-{
-    if (m_forecast.size() != counts.size()) {
-        m_forecast.assign(counts.begin(), counts.end());
-        return;
-    }
-    for (size_t layer = 0; layer < counts.size(); ++layer) {
-        const double smoothing = detail::hasShifted(m_forecast[layer], counts[layer], m_settings.shiftShare) ? 1 : m_settings.smoothing;
-        for (size_t expert = 0; expert < counts[layer].size(); ++expert)
-            m_forecast[layer][expert] += smoothing * (counts[layer][expert] - m_forecast[layer][expert]);
-    }
-}
-
 void Planner::improveLayer(size_t layer, Plan& plan)
 {
     Placement& placement = m_layers[layer];
-    const std::vector<double>& loads = m_forecast[layer];
+    const std::vector<double>& loads = m_forecast.counts()[layer];
     const double bound = largestLoadBound(loads, m_topology);
     if (largestRankLoad(placement, loads, m_topology) <= bound * m_settings.tolerated)
         return;
--- a/expertmap/planner.h
+++ b/expertmap/planner.h
@@ -1,16 +1,13 @@
 // Decides when to change the expert map of a group, and how far.
 #pragma once
 
+#include "expertmap/forecast.h"
 #include "expertmap/placement.h"
 
 namespace orioletrail {
 
 struct PlannerSettings {
-    // Weight of the latest token counts in the forecast.
-    double smoothing = 0.5;
-    // Share of an interval's tokens that must have gone to other experts than forecast for the
-    // forecast to be dropped: the topic has changed.
-    double shiftShare = 0.25;
+    ForecastSettings forecast;
     // Largest rank load, over its bound, up to which nothing is moved.
     double tolerated = 1.01;
     // A move must lower the unevenness of rank loads by this share to be made.
@@ -50,6 +47,7 @@
     Planner(const RankTopology& topology, const PlannerSettings& settings)
         : m_topology(topology)
         , m_settings(settings)
+        , m_forecast(settings.forecast)
     {
     }
 
@@ -67,12 +65,11 @@
     // True if the placements in force are for as many layers and experts.
     bool fits(std::span<const std::vector<double>> counts) const;
     bool start(std::span<const std::vector<double>> counts, Plan&, std::string& reason);
-    void forecast(std::span<const std::vector<double>> counts);
     void improveLayer(size_t layer, Plan&);
 
     RankTopology m_topology;
     PlannerSettings m_settings;
-    std::vector<std::vector<double>> m_forecast;
+    TokenForecast m_forecast;
     std::vector<Placement> m_layers;
     bool m_frozen = false;
 };
