--- a/config/store-test.cc
+++ b/config/store-test.cc
@@ -97,3 +97,16 @@
         }
     }
 }
+
+TEST_CASE("a complete list marks what it lacks as deleted, unless it is newer than the list")
+{
+    ConfigStore store;
+    REQUIRE(store.apply({ 0, 7, { { "config/zone/a", 5, "{}", false }, { "config/zone/b", 6, "{}", false }, { "config/zone/c", 7, "{}", false } } }));
+    // A peer that only confirms its revision lists nothing.
+    REQUIRE(store.apply({ 0, 7, {} }));
+    CHECK(store.find("config/zone/a"));
+    REQUIRE(store.apply({ 0, 5, { { "config/zone/a", 5, "{}", false } }, 6 }));
+    CHECK(store.find("config/zone/a"));
+    CHECK_FALSE(store.find("config/zone/b"));
+    CHECK(store.find("config/zone/c"));
+}
--- a/config/store.cc
+++ b/config/store.cc
@@ -11,7 +11,7 @@
         m_lastError = "delta starts at revision " + std::to_string(delta.from) + ", replica is at " + std::to_string(m_revision);
         return false;
     }
-    if (!delta.from)
+    if (delta.seen && !delta.from)
         dropAbsent(delta);
     for (const ObjectChange& change : delta.changes) {
         ObjectChange& held = m_objects[change.key];
@@ -27,11 +27,12 @@
     std::set<std::string_view> present;
     for (const ObjectChange& change : complete.changes)
         present.insert(change.key);
+    const uint64_t seen = complete.seen;
     for (auto& [key, held] : m_objects) {
-        if (held.deleted || held.revision > complete.to || present.contains(key))
+        if (held.deleted || held.revision > seen || present.contains(key))
             continue;
-        held = { key, complete.to, {}, true };
-        m_revision = std::max(m_revision, complete.to);
+        held = { key, seen, {}, true };
+        m_revision = std::max(m_revision, seen);
     }
 }
 
--- a/config/store.h
+++ b/config/store.h
@@ -22,6 +22,9 @@
     uint64_t from = 0;
     uint64_t to = 0;
     std::vector<ObjectChange> changes;
+    // Of a complete list from the platform: the store's revision at the time, 0 otherwise. Objects
+    // of earlier revisions that are not listed have been deleted.
+    uint64_t seen = 0;
 };
 
 // Holds objects by key with their revisions, which only rise. Deltas may come from the
