Give slow ranks fewer experts and streams, and leave maps alone while pauses are short

Change: the planner minimises the longest time of a rank by its reported slowness; the leader tells the entries which engines are slow; a map is changed only if pauses would pass half of their objective.

Weighed: fewer copies in each change, which gains less after a shift.

--- a/direct/direct.cc
+++ b/direct/direct.cc
@@ -19,6 +19,7 @@
     constexpr Millis expiryInterval { 500 };
     // Some missed rounds of status messages.
     constexpr Millis peerAlive { 500 };
+    constexpr Millis slownessHold { 1500 };
     // On top of the lag that engines state.
     constexpr Millis reportLagMargin { 100 };
     // The balancer asks once a second and takes an instance out after two misses.
@@ -221,6 +222,7 @@
     };
     hooks.sidecars = [this] { return findSidecars(); };
     hooks.profile = [this](const std::string& service) { return expertProfile(service); };
+    hooks.expectedPause = [this](const std::string& service, double unevenness) { return expectedPause(service, unevenness); };
     hooks.claim = [this] { return claimLead(); };
     hooks.isFirst = [this] {
         const TimePoint now = Clock::now();
@@ -231,6 +233,28 @@
     maps = std::make_unique<MapDriver>(traffic.get_executor(), MapDriverSettings {}, std::move(hooks), metrics);
 }
 
+double DirectEntry::State::expectedPause(const std::string& name, double unevenness)
+{
+    const EngineProfile* profile = expertProfile(name);
+    const PaceProfile& pace = services[name].profile;
+    if (!profile || pace.gapObjectiveMs <= 0)
+        return 1;
+    const double perStream = pace.perStreamMs * (1 - profile->expertShare + profile->expertShare * unevenness);
+    return pace.stepsPerPass * (pace.stepMs + perStream * meanStreams(name)) / pace.gapObjectiveMs;
+}
+
+void DirectEntry::State::takeSlowness(std::map<std::string, double, std::less<>> heard)
+{
+    slowness = std::move(heard);
+    slownessHeard = Clock::now();
+}
+
+double DirectEntry::State::slownessOf(std::string_view endpoint) const
+{
+    const auto found = slowness.find(endpoint);
+    return found == slowness.end() || Clock::now() - slownessHeard > detail::slownessHold ? 1 : found->second;
+}
+
 Task<std::optional<uint64_t>> DirectEntry::State::claimLead()
 {
     co_return co_await asio::co_spawn(controlIo, registry->takeLease("expert-maps", platform.instance), asio::use_awaitable);
@@ -243,6 +267,8 @@
     status.address = platform.address + ':' + std::to_string(platform.firstPeerPort);
     status.inFlight = loads.ownCounts();
     status.leading = maps->isLeading();
+    if (status.leading)
+        status.slowness = maps->slowEndpoints();
     return status;
 }
 
@@ -251,8 +277,10 @@
     for (const auto& [digest, deaths] : status.deaths)
         poison.merge(digest, deaths, Clock::now());
     peersHeard.insert_or_assign(status.instance, Clock::now());
-    if (status.leading)
+    if (status.leading) {
         maps->onLeaderHeard(Clock::now());
+        takeSlowness(std::move(status.slowness));
+    }
     loads.onPeerCounts(status.instance, std::move(status.inFlight), Clock::now());
     for (auto& [service, state] : services)
         wakeWaiting(service);
@@ -282,6 +310,8 @@
         co_await sleepFor(detail::tickInterval);
         const TimePoint now = Clock::now();
         maps->tick(now);
+        if (maps->isLeading())
+            takeSlowness(maps->slowEndpoints());
         if (now - expired >= detail::expiryInterval) {
             expired = now;
             keeper->tell(TickNews {});
--- a/direct/map-driver.cc
+++ b/direct/map-driver.cc
@@ -27,6 +27,8 @@
     constexpr Millis connectionReuse { 4000 };
     // A lead ends before its numbers run out within a change.
     constexpr uint64_t numbersLeft = 1000;
+    // An endpoint counts as slow from here on.
+    constexpr double slowFrom = 1.2;
     // Passes take longer by this factor while ranks copy.
     constexpr double copySlowdown = 1.15;
     // New experts of a rank that are tried for a change.
@@ -242,6 +244,8 @@
     const bool hasSidecar = known != group->ranks.end() && known->second.engine.isLocal && now - known->second.heard < detail::sidecarSilence;
     if (engine.isLocal || !hasSidecar)
         group->ranks.insert_or_assign(status->rank.rank, RankAccess { engine, now });
+    if (status->rank.rank < group->slowness.size())
+        group->slowness[status->rank.rank] = std::max(1.0, status->slowness);
     group->leader.onReport(status->rank, asked - engine.lag, now);
     pump(group);
 }
@@ -259,6 +263,7 @@
     MapLeaderSettings settings;
     settings.ranks = status.groupSize;
     auto group = std::make_shared<Group>(service, settings);
+    group->slowness.assign(status.groupSize, 1);
     group->leader.lead(*m_base, Clock::now());
     m_groups.insert_or_assign(status.group, group);
     return group;
@@ -278,17 +283,27 @@
     pump(group);
 }
 
-MapProposal proposeMap(const ExpertMap& map, const ExpertCounts& counts, const EngineProfile& profile, const MapDriverSettings& settings)
+std::map<std::string, double, std::less<>> MapDriver::slowEndpoints() const
 {
-    const double before = mapUnevenness(map, counts);
+    std::map<std::string, double, std::less<>> slow;
+    for (const auto& [name, group] : m_groups)
+        for (const auto& [rank, engine] : group->direct)
+            if (rank < group->slowness.size() && group->slowness[rank] > detail::slowFrom)
+                slow.emplace(engine.name, group->slowness[rank]);
+    return slow;
+}
+
+MapProposal proposeMap(const ExpertMap& map, const ExpertCounts& counts, const RankSlowness& slowness, const EngineProfile& profile, const MapDriverSettings& settings)
+{
+    const double before = mapUnevenness(map, counts, slowness);
     const auto seconds = [](Millis time) { return std::chrono::duration<double>(time).count(); };
     MapProposal best;
     best.map = map;
     best.unevenness = before;
     for (const uint32_t budget : detail::budgetsTried) {
         MapProposal proposal;
-        proposal.map = improveMap(map, counts, { profile.expertPlaces, profile.expertsPerChange, budget });
-        proposal.unevenness = mapUnevenness(proposal.map, counts);
+        proposal.map = improveMap(map, counts, { profile.expertPlaces, profile.expertsPerChange, budget }, slowness);
+        proposal.unevenness = mapUnevenness(proposal.map, counts, slowness);
         uint32_t most = 0;
         for (const uint32_t copies : countCopies(map, proposal.map)) {
             proposal.copies += copies;
@@ -332,9 +347,11 @@
     }
     if (!group->map || group->mapVersion != leader.version() || group->mapEpoch != leader.epoch())
         return;
-    const double before = mapUnevenness(*group->map, expected);
+    const double before = mapUnevenness(*group->map, expected, group->slowness);
     m_metrics.set("orioletrail_map_unevenness", before);
-    MapProposal proposal = proposeMap(*group->map, expected, *profile, m_settings);
+    if (m_hooks.expectedPause(group->service, before) < m_settings.comfortablePause)
+        return;
+    MapProposal proposal = proposeMap(*group->map, expected, group->slowness, *profile, m_settings);
     if (proposal.gain < m_settings.leastGain)
         return;
     std::string reason;
--- a/direct/map-driver.h
+++ b/direct/map-driver.h
@@ -34,6 +34,9 @@
     double copyCost = 0.006;
     // A change has to gain this much more than it costs, in the same unit.
     double leastGain = 0.1;
+    // Share of the objective for pauses below which passes are short enough and copies only
+    // disturb: what is left covers prompts that are read within a pass.
+    double comfortablePause = 0.5;
     // Of reports and counts.
     Millis callTimeout { 400 };
     // Of orders: many round trips. One that was not answered by then is sent again.
@@ -58,7 +61,7 @@
 
 // The change that saves the most over the horizon: few copies are done sooner, many even the load
 // better. Ranks copy while passes take somewhat longer.
-MapProposal proposeMap(const ExpertMap&, const ExpertCounts&, const EngineProfile&, const MapDriverSettings&);
+MapProposal proposeMap(const ExpertMap&, const ExpertCounts&, const RankSlowness&, const EngineProfile&, const MapDriverSettings&);
 
 class MapDriver {
 public:
@@ -69,6 +72,9 @@
         std::function<Task<std::optional<std::vector<EngineAccess>>>()> sidecars;
         // The engine parameters of a service, or null.
         std::function<const EngineProfile*(const std::string& service)> profile;
+        // The pause between events that callers of a service would see with a map of this
+        // unevenness, against its objective.
+        std::function<double(const std::string& service, double unevenness)> expectedPause;
         // Takes the lead in the store and returns a number that rises with each lead. Nothing if
         // another instance was first or nothing is known.
         std::function<Task<std::optional<uint64_t>>()> claim;
@@ -89,6 +95,9 @@
 
     bool isLeading() const { return m_base.has_value(); }
 
+    // Endpoints that take longer than usual, with how many times longer, while this instance leads.
+    std::map<std::string, double, std::less<>> slowEndpoints() const;
+
 private:
     struct RankAccess {
         EngineAccess engine;
@@ -108,6 +117,7 @@
         // The best way to each rank, and the direct one, which is used while a sidecar is silent.
         std::map<uint32_t, RankAccess> ranks;
         std::map<uint32_t, EngineAccess> direct;
+        RankSlowness slowness;
         uint64_t directEpoch = 0;
         // Latest counts by rank, of the epoch below.
         std::map<uint32_t, std::vector<double>> counts;
--- a/direct/peers-test.cc
+++ b/direct/peers-test.cc
@@ -14,6 +14,7 @@
     status.inFlight = { { "e-1", 3 }, { "e-2", 1 } };
     status.deaths = { { "digest", 2 } };
     status.leading = true;
+    status.slowness = { { "e-1", 4.5 } };
     const auto read = decodePeerStatus(encodePeerStatus(status));
     REQUIRE(read);
     CHECK(read->instance == status.instance);
@@ -21,6 +22,7 @@
     CHECK(read->inFlight == status.inFlight);
     CHECK(read->deaths == status.deaths);
     CHECK(read->leading);
+    CHECK(read->slowness == status.slowness);
     CHECK_FALSE(decodePeerStatus(""));
     CHECK_FALSE(decodePeerStatus("[]"));
     CHECK_FALSE(decodePeerStatus(R"({"instance":5,"address":"x"})"));
@@ -35,17 +37,17 @@
     profile.expertCopyTime = Millis(98);
     const ExpertMap map = startingMap(4, 72, 12);
     ExpertCounts even(4, std::vector<double>(72, 1));
-    CHECK(proposeMap(map, even, profile, {}).gain == 0);
+    CHECK(proposeMap(map, even, {}, profile, {}).gain == 0);
     ExpertCounts skewed = even;
     for (auto& set : skewed)
         for (size_t expert = 0; expert < set.size(); ++expert)
             set[expert] = 1 / std::pow(static_cast<double>(expert + 1), 1.2);
-    const MapProposal proposal = proposeMap(map, skewed, profile, {});
+    const MapProposal proposal = proposeMap(map, skewed, {}, profile, {});
     CHECK(mapUnevenness(map, skewed) > 2.5);
     CHECK(proposal.unevenness < 1.4);
     CHECK(proposal.gain > 2);
     CHECK(proposal.copyTime <= Millis(700));
     // Copying that takes longer than the popularity lasts gains nothing.
     profile.expertCopyTime = Millis(4000);
-    CHECK(proposeMap(map, skewed, profile, {}).gain == 0);
+    CHECK(proposeMap(map, skewed, {}, profile, {}).gain == 0);
 }
--- a/direct/peers.cc
+++ b/direct/peers.cc
@@ -60,8 +60,13 @@
     object["instance"] = status.instance;
     object["address"] = status.address;
     object["inFlight"] = detail::writeCounts(status.inFlight);
-    if (status.leading)
+    if (status.leading) {
         object["leading"] = true;
+        json::object slowness;
+        for (const auto& [endpoint, factor] : status.slowness)
+            slowness.emplace(endpoint, factor);
+        object["slowness"] = std::move(slowness);
+    }
     if (!status.deaths.empty())
         object["deaths"] = detail::writeCounts(status.deaths);
     return json::serialize(object);
@@ -81,6 +86,11 @@
     status.address = std::string(address->get_string());
     const json::value* leading = object->if_contains("leading");
     status.leading = leading && leading->is_bool() && leading->get_bool();
+    const json::value* slowness = object->if_contains("slowness");
+    if (slowness && slowness->is_object())
+        for (const auto& [endpoint, factor] : slowness->get_object())
+            if (factor.is_number())
+                status.slowness.emplace(endpoint, factor.to_number<double>(error));
     detail::readCounts(*object, "inFlight", status.inFlight);
     detail::readCounts(*object, "deaths", status.deaths);
     return status;
--- a/direct/peers.h
+++ b/direct/peers.h
@@ -18,6 +18,8 @@
     InFlightCounts inFlight;
     // It leads the expert maps.
     bool leading = false;
+    // Of the leader: endpoints that take longer than usual, with how many times longer.
+    std::map<std::string, double, std::less<>> slowness;
     // Digests of requests that endpoints died with, with the number of deaths.
     std::map<std::string, uint32_t, std::less<>> deaths;
 };
--- a/direct/request.cc
+++ b/direct/request.cc
@@ -166,6 +166,8 @@
         const auto firstByte = static_cast<double>(health.firstByte(record.id).count());
         if (service && !service->engine && firstByte > 0 && sumFirstByte > 0)
             option.slowness = firstByte * static_cast<double>(seen) / sumFirstByte;
+        else if (service && service->engine)
+            option.slowness = slownessOf(record.id);
         option.failureShare = health.failureShare(record.id);
         option.closed = record.leaving || beliefs.closedZones.contains(record.zone)
             || (now < record.coldUntil && coldPerSecond > 0 && !coldLimit.mayTake(record.id, coldPerSecond, instanceCount(), now));
--- a/direct/state.h
+++ b/direct/state.h
@@ -132,6 +132,10 @@
     size_t instanceCount() const;
     Task<> joinPeers();
     void startMaps();
+    // The pause between events that a map of this unevenness leads to, against its objective.
+    double expectedPause(const std::string& service, double unevenness);
+    double slownessOf(std::string_view endpoint) const;
+    void takeSlowness(std::map<std::string, double, std::less<>>);
     // The engine parameters of a service with expert maps, or null.
     const EngineProfile* expertProfile(const std::string& service) const;
     Task<std::optional<std::vector<EngineAccess>>> findSidecars();
@@ -164,6 +168,9 @@
     std::unique_ptr<StoreWatcher> watcher;
     std::unique_ptr<PeerExchange> peers;
     std::unique_ptr<MapDriver> maps;
+    // Engines that take longer than usual, as the leader of the expert maps says, and when it said so.
+    std::map<std::string, double, std::less<>> slowness;
+    TimePoint slownessHeard;
     // Instances heard of, with the time of the latest status.
     std::map<std::string, TimePoint, std::less<>> peersHeard;
     BeliefSnapshot beliefs;
--- a/directory/catalog.h
+++ b/directory/catalog.h
@@ -61,6 +61,8 @@
     double pairsMsPerMillion = 0;
     // Age of what an engine reports of itself to other machines.
     Millis reportLag { 0 };
+    // Share of the work for tokens that experts do.
+    double expertShare = 0;
     // Sets of layers, experts of each, experts of a set that a rank holds and that may be new to
     // it in one change of the map; 0 if there are no expert maps.
     uint32_t expertSets = 0;
--- a/expertmap/engine-map-test.cc
+++ b/expertmap/engine-map-test.cc
@@ -85,3 +85,23 @@
         CHECK(mapUnevenness(after, counts) < 1.35);
     }
 }
+
+TEST_CASE("slow ranks get the experts that are in little demand")
+{
+    for (uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        const ExpertCounts counts = skewedCounts(seed);
+        RankSlowness slowness(ranks, 1);
+        for (uint32_t rank = 0; rank < 4; ++rank)
+            slowness[rank] = 6;
+        ExpertMap map = startingMap(sets, experts, ranks);
+        const double before = mapUnevenness(map, counts, slowness);
+        for (int change = 0; change < 3; ++change)
+            map = improveMap(map, counts, limits, slowness);
+        std::string reason;
+        REQUIRE_MESSAGE(isValidMap(map, experts, limits, reason), reason);
+        // A map that is even on usual ranks would take six times as long.
+        CHECK(before > 6);
+        CHECK(mapUnevenness(map, counts, slowness) < 2.2);
+    }
+}
--- a/expertmap/engine-map.cc
+++ b/expertmap/engine-map.cc
@@ -26,11 +26,12 @@
     class SetPlan {
     public:
         // `budgets` are the experts that each rank may still add, over all sets.
-        SetPlan(const RankExperts& ranks, std::span<const double> counts, const MapLimits& limits, std::vector<uint32_t>& budgets)
+        SetPlan(const RankExperts& ranks, std::span<const double> counts, const MapLimits& limits, const RankSlowness& slowness, std::vector<uint32_t>& budgets)
             : m_before(ranks)
             , m_ranks(ranks)
             , m_counts(counts)
             , m_limits(limits)
+            , m_slowness(slowness)
             , m_budgets(budgets)
             , m_copies(counts.size())
             , m_added(ranks.size())
@@ -52,7 +53,7 @@
         {
             if (m_mean <= 0 || m_finished)
                 return std::nullopt;
-            return *std::max_element(m_loads.begin(), m_loads.end()) / m_mean;
+            return timeOf(m_loads, slowest(m_loads)) / m_mean;
         }
 
         void improve()
@@ -72,12 +73,28 @@
 
         double part(uint32_t expert) const { return m_counts[expert] / m_copies[expert]; }
 
-        // Follows the largest load, and falls too when one of several equally large ones does.
+        double timeOf(const std::vector<double>& loads, uint32_t rank) const
+        {
+            return loads[rank] * (m_slowness.empty() ? 1 : m_slowness[rank]);
+        }
+
+        // The rank that takes the longest.
+        uint32_t slowest(const std::vector<double>& loads) const
+        {
+            uint32_t found = 0;
+            for (uint32_t rank = 1; rank < loads.size(); ++rank)
+                if (timeOf(loads, rank) > timeOf(loads, found))
+                    found = rank;
+            return found;
+        }
+
+        // Follows the longest time, and falls too when one of several equally long ones does.
         double costOf(const std::vector<double>& loads) const
         {
             double sum = 0;
-            for (const double load : loads) {
-                const double second = (load / m_mean) * (load / m_mean);
+            for (uint32_t rank = 0; rank < loads.size(); ++rank) {
+                const double time = timeOf(loads, rank) / m_mean;
+                const double second = time * time;
                 const double fourth = second * second;
                 const double eighth = fourth * fourth;
                 sum += eighth * eighth;
@@ -129,7 +146,7 @@
                 if (!holds(m_ranks[rank], expert) && (!isNew || (m_added[rank] < m_limits.newPerChange && m_budgets[rank])))
                     ranks.push_back(rank);
             }
-            std::sort(ranks.begin(), ranks.end(), [&](uint32_t a, uint32_t b) { return m_loads[a] < m_loads[b]; });
+            std::sort(ranks.begin(), ranks.end(), [&](uint32_t a, uint32_t b) { return timeOf(m_loads, a) < timeOf(m_loads, b); });
             ranks.resize(std::min(ranks.size(), ranksTried));
             return ranks;
         }
@@ -148,7 +165,7 @@
 
         bool improveOnce()
         {
-            const auto fullest = static_cast<uint32_t>(std::max_element(m_loads.begin(), m_loads.end()) - m_loads.begin());
+            const uint32_t fullest = slowest(m_loads);
             double bestCost = costOf(m_loads) * (1 - leastGain);
             std::optional<Change> best;
             const auto tryChange = [&](const Change& change) {
@@ -212,6 +229,7 @@
         RankExperts m_ranks;
         std::span<const double> m_counts;
         MapLimits m_limits;
+        const RankSlowness& m_slowness;
         std::vector<uint32_t>& m_budgets;
         std::vector<uint32_t> m_copies;
         // Experts that the change adds, by rank.
@@ -234,29 +252,14 @@
     return map;
 }
 
-double mapUnevenness(const std::vector<std::vector<uint32_t>>& ranks, std::span<const double> counts)
-{
-    std::vector<uint32_t> copies(counts.size());
-    for (const auto& experts : ranks)
-        for (const uint32_t expert : experts)
-            ++copies[expert];
-    double largest = 0;
-    double total = 0;
-    for (const auto& experts : ranks) {
-        double load = 0;
-        for (const uint32_t expert : experts)
-            load += counts[expert] / copies[expert];
-        largest = std::max(largest, load);
-        total += load;
-    }
-    return total > 0 ? largest * static_cast<double>(ranks.size()) / total : 1;
-}
-
-double mapUnevenness(const ExpertMap& map, const ExpertCounts& counts)
+double mapUnevenness(const ExpertMap& map, const ExpertCounts& counts, const RankSlowness& slowness)
 {
     double sum = 0;
-    for (size_t set = 0; set < map.experts.size(); ++set)
-        sum += mapUnevenness(map.experts[set], counts[set]);
+    for (size_t set = 0; set < map.experts.size(); ++set) {
+        std::vector<uint32_t> none;
+        const detail::SetPlan plan(map.experts[set], counts[set], {}, slowness, none);
+        sum += plan.largest().value_or(1);
+    }
     return map.experts.empty() ? 1 : sum / static_cast<double>(map.experts.size());
 }
 
@@ -272,12 +275,12 @@
     return copies;
 }
 
-ExpertMap improveMap(const ExpertMap& map, const ExpertCounts& counts, const MapLimits& limits)
+ExpertMap improveMap(const ExpertMap& map, const ExpertCounts& counts, const MapLimits& limits, const RankSlowness& slowness)
 {
     std::vector<uint32_t> budgets(map.experts.empty() ? 0 : map.experts.front().size(), limits.newPerRank);
     std::vector<detail::SetPlan> plans;
     for (size_t set = 0; set < map.experts.size(); ++set)
-        plans.emplace_back(map.experts[set], counts[set], limits, budgets);
+        plans.emplace_back(map.experts[set], counts[set], limits, slowness, budgets);
     // The most uneven set first, since the ranks' budgets are shared.
     while (true) {
         detail::SetPlan* worst = nullptr;
--- a/expertmap/engine-map.h
+++ b/expertmap/engine-map.h
@@ -33,18 +33,19 @@
 // The map that engines start with: expert e on rank e modulo the number of ranks.
 ExpertMap startingMap(uint32_t sets, uint32_t experts, uint32_t ranks);
 
-// Largest rank load over the mean, for one set; 1 for a set without counts.
-double mapUnevenness(const std::vector<std::vector<uint32_t>>& ranks, std::span<const double> counts);
+// How many times longer than usual each rank takes for its work; empty if all are as usual.
+using RankSlowness = std::vector<double>;
 
-// Mean over all sets of the largest rank load over the mean: what a pass costs against an even one.
-double mapUnevenness(const ExpertMap&, const ExpertCounts&);
+// Mean over all sets of the longest time that a rank takes, against that of an even load on usual
+// ranks: what a pass costs. 1 for sets without counts.
+double mapUnevenness(const ExpertMap&, const ExpertCounts&, const RankSlowness& = {});
 
 // Experts that `after` adds to ranks of `before`: weights to be copied, by rank.
 std::vector<uint32_t> countCopies(const ExpertMap& before, const ExpertMap& after);
 
-// A map whose largest rank loads are lower, made from the given one by single copies, moves and
-// evictions within the limits.
-ExpertMap improveMap(const ExpertMap&, const ExpertCounts&, const MapLimits&);
+// A map whose ranks take less time at the longest, made from the given one by single copies, moves
+// and evictions within the limits.
+ExpertMap improveMap(const ExpertMap&, const ExpertCounts&, const MapLimits&, const RankSlowness& = {});
 
 // False, with `reason` set, if an expert is on no rank or a rank holds more than it has places for.
 bool isValidMap(const ExpertMap&, uint32_t experts, const MapLimits&, std::string& reason);
