Hand the lead of the expert maps over at a planned stop

Change: a leader that stops passes the rest of its numbers to another entry by its status messages. Its successor fences with higher numbers; the next lead from the store has higher ones still.

--- a/direct/direct.cc
+++ b/direct/direct.cc
@@ -260,6 +260,13 @@
     co_return co_await asio::co_spawn(controlIo, registry->takeLease("expert-maps", platform.instance), asio::use_awaitable);
 }
 
+std::string DirectEntry::State::firstLivePeer() const
+{
+    const TimePoint now = Clock::now();
+    const auto first = std::find_if(peersHeard.begin(), peersHeard.end(), [&](const auto& peer) { return now - peer.second < detail::peerAlive; });
+    return first == peersHeard.end() ? std::string() : first->first;
+}
+
 PeerStatus DirectEntry::State::ownStatus() const
 {
     PeerStatus status;
@@ -269,6 +276,10 @@
     status.leading = maps->isLeading();
     if (status.leading)
         status.slowness = maps->slowEndpoints();
+    if (maps->handedOver()) {
+        status.successor = firstLivePeer();
+        status.lead = *maps->handedOver();
+    }
     return status;
 }
 
@@ -281,6 +292,8 @@
         maps->onLeaderHeard(Clock::now());
         takeSlowness(std::move(status.slowness));
     }
+    if (status.successor == platform.instance)
+        maps->takeOver(status.lead);
     loads.onPeerCounts(status.instance, std::move(status.inFlight), Clock::now());
     for (auto& [service, state] : services)
         wakeWaiting(service);
--- a/direct/map-driver.cc
+++ b/direct/map-driver.cc
@@ -68,7 +68,7 @@
 
 void MapDriver::tick(TimePoint now)
 {
-    if (!m_base) {
+    if (!m_lead) {
         const Millis patience = m_hooks.isFirst() ? m_settings.leaderSilence : detail::laterFactor * m_settings.leaderSilence;
         if (m_claiming || m_stopping || now - m_leaderHeard < patience || m_hooks.engines().empty())
             return;
@@ -91,7 +91,7 @@
             return;
         }
         isQuiet = isQuiet && leader.phase() == MapPhase::Ready;
-        if (leader.phase() == MapPhase::Ready && leader.lastNumber() - *m_base + detail::numbersLeft > m_settings.numbersPerLead) {
+        if (leader.phase() == MapPhase::Ready && leader.lastNumber() + detail::numbersLeft > m_lead->end) {
             resign("its numbers are used up");
             return;
         }
@@ -101,8 +101,10 @@
             asio::co_spawn(m_executor, read(group), asio::detached);
         }
     }
-    if (m_stopping && isQuiet)
+    if (m_stopping && isQuiet) {
+        m_handedOver = MapLead { lastNumber(), m_lead->end };
         resign("stopping");
+    }
 }
 
 void MapDriver::pump(const GroupPtr& group)
@@ -133,17 +135,38 @@
     m_leaderHeard = now;
     if (!lead || m_stopping)
         co_return;
-    m_base = *lead * m_settings.numbersPerLead;
+    begin({ *lead * m_settings.numbersPerLead, (*lead + 1) * m_settings.numbersPerLead });
+}
+
+void MapDriver::takeOver(const MapLead& lead)
+{
+    if (m_lead || m_stopping || lead.base + detail::numbersLeft > lead.end)
+        return;
+    begin(lead);
+}
+
+uint64_t MapDriver::lastNumber() const
+{
+    uint64_t last = m_lead ? m_lead->base : 0;
+    for (const auto& [name, group] : m_groups)
+        last = std::max(last, group->leader.lastNumber());
+    return last;
+}
+
+void MapDriver::begin(const MapLead& lead)
+{
+    m_lead = lead;
+    const TimePoint now = Clock::now();
     m_reportHeard = now;
     m_groups.clear();
     m_metrics.count("orioletrail_map_leads_total");
-    log(LogLevel::Info, "leading expert maps", { { "base", std::to_string(*m_base) } });
+    log(LogLevel::Info, "leading expert maps", { { "base", std::to_string(lead.base) } });
 }
 
 void MapDriver::resign(std::string_view reason)
 {
     log(LogLevel::Info, "leading expert maps no more", { { "reason", std::string(reason) } });
-    m_base.reset();
+    m_lead.reset();
     m_groups.clear();
     m_leaderHeard = Clock::now();
 }
@@ -225,7 +248,7 @@
 {
     const TimePoint asked = Clock::now();
     const HttpResult result = co_await call(engine, statusRequest(), m_settings.callTimeout);
-    if (!result.ok() || result.status != 200 || !m_base)
+    if (!result.ok() || result.status != 200 || !m_lead)
         co_return;
     const std::optional<EngineStatus> status = decodeStatus(result.body);
     if (!status) {
@@ -267,7 +290,7 @@
     settings.ranks = status.groupSize;
     auto group = std::make_shared<Group>(service, settings);
     group->slowness.assign(status.groupSize, 1);
-    group->leader.lead(*m_base, Clock::now());
+    group->leader.lead(m_lead->base, Clock::now());
     m_groups.insert_or_assign(status.group, group);
     return group;
 }
@@ -348,7 +371,7 @@
     const EngineProfile* profile = m_hooks.profile(group->service);
     const ExpertCounts& expected = group->forecast.counts();
     MapLeader& leader = group->leader;
-    if (!profile || !m_base || m_stopping || expected.empty() || leader.phase() != MapPhase::Ready)
+    if (!profile || !m_lead || m_stopping || expected.empty() || leader.phase() != MapPhase::Ready)
         return;
     if (const auto own = leader.mapOf(leader.version())) {
         group->map = *own;
--- a/direct/map-driver.h
+++ b/direct/map-driver.h
@@ -63,6 +63,16 @@
 // better. Ranks copy while passes take somewhat longer.
 MapProposal proposeMap(const ExpertMap&, const ExpertCounts&, const RankSlowness&, const EngineProfile&, const MapDriverSettings&);
 
+// The right to lead, as the numbers that fences and versions may be taken from. Whoever takes the
+// lead in the store gets higher ones than all before.
+struct MapLead {
+    // Numbers above this one are free.
+    uint64_t base = 0;
+    uint64_t end = 0;
+
+    bool operator==(const MapLead&) const = default;
+};
+
 class MapDriver {
 public:
     struct Hooks {
@@ -93,7 +103,15 @@
     // Finishes what is under way and leads no more.
     void stop() { m_stopping = true; }
 
-    bool isLeading() const { return m_base.has_value(); }
+    // What is left of the lead after stop(), for another instance to go on with, so that a planned
+    // stop needs no store and leaves no gap. Nothing before that.
+    const std::optional<MapLead>& handedOver() const { return m_handedOver; }
+
+    // Goes on with the lead of an instance that has stopped. Orders of that one are fenced off by
+    // the higher numbers, should any come late.
+    void takeOver(const MapLead&);
+
+    bool isLeading() const { return m_lead.has_value(); }
 
     // Endpoints that take longer than usual, with how many times longer, while this instance leads.
     std::map<std::string, double, std::less<>> slowEndpoints() const;
@@ -134,6 +152,8 @@
     using GroupPtr = std::shared_ptr<Group>;
 
     Task<> claim();
+    void begin(const MapLead&);
+    uint64_t lastNumber() const;
     Task<> findSidecars();
     void resign(std::string_view reason);
     void askReports(TimePoint);
@@ -157,8 +177,9 @@
     Hooks m_hooks;
     Metrics& m_metrics;
     std::map<std::string, GroupPtr> m_groups;
-    // Lower bound of this leader's numbers, while it leads.
-    std::optional<uint64_t> m_base;
+    // Set while this instance leads.
+    std::optional<MapLead> m_lead;
+    std::optional<MapLead> m_handedOver;
     bool m_claiming = false;
     bool m_stopping = false;
     TimePoint m_leaderHeard = Clock::now();
--- a/direct/peers-test.cc
+++ b/direct/peers-test.cc
@@ -1,6 +1,7 @@
 #include "direct/map-driver.h"
 #include "direct/peers.h"
 
+#include <boost/asio/io_context.hpp>
 #include <cmath>
 #include <doctest/doctest.h>
 
@@ -14,6 +15,8 @@
     status.inFlight = { { "e-1", 3 }, { "e-2", 1 } };
     status.deaths = { { "digest", 2 } };
     status.leading = true;
+    status.successor = "entry-2";
+    status.lead = { 65'600, 131'072 };
     status.slowness = { { "e-1", 4.5 } };
     const auto read = decodePeerStatus(encodePeerStatus(status));
     REQUIRE(read);
@@ -22,11 +25,41 @@
     CHECK(read->inFlight == status.inFlight);
     CHECK(read->deaths == status.deaths);
     CHECK(read->leading);
+    CHECK(read->successor == status.successor);
+    CHECK(read->lead == status.lead);
     CHECK(read->slowness == status.slowness);
     CHECK_FALSE(decodePeerStatus(""));
     CHECK_FALSE(decodePeerStatus("[]"));
     CHECK_FALSE(decodePeerStatus(R"({"instance":5,"address":"x"})"));
     CHECK(decodePeerStatus(R"({"instance":"a","address":"x","inFlight":{"e":"many"}})")->inFlight.empty());
+    CHECK(decodePeerStatus(R"({"instance":"a","address":"x","handover":{"to":"b","base":-1,"end":5}})")->successor.empty());
+}
+
+TEST_CASE("a lead goes on in another instance without the store, as long as numbers are left")
+{
+    boost::asio::io_context context;
+    Metrics metrics;
+    MapDriver::Hooks hooks;
+    hooks.engines = [] { return std::vector<EngineAccess>(); };
+    hooks.sidecars = []() -> Task<std::optional<std::vector<EngineAccess>>> { co_return std::nullopt; };
+    MapDriver first(context.get_executor(), {}, hooks, metrics);
+    MapDriver second(context.get_executor(), {}, hooks, metrics);
+    first.takeOver({ 65'536, 131'072 });
+    CHECK(first.isLeading());
+    first.tick(Clock::now());
+    CHECK_FALSE(first.handedOver());
+    first.stop();
+    first.tick(Clock::now());
+    CHECK_FALSE(first.isLeading());
+    REQUIRE(first.handedOver());
+    CHECK(*first.handedOver() == MapLead { 65'536, 131'072 });
+    // One that stops takes nothing over.
+    first.takeOver(*first.handedOver());
+    CHECK_FALSE(first.isLeading());
+    second.takeOver({ 131'000, 131'072 });
+    CHECK_FALSE(second.isLeading());
+    second.takeOver(*first.handedOver());
+    CHECK(second.isLeading());
 }
 
 TEST_CASE("a change of the map is proposed if it pays over the time that a popularity lasts")
--- a/direct/peers.cc
+++ b/direct/peers.cc
@@ -36,6 +36,24 @@
         }
     }
 
+    void readHandover(const json::object& object, PeerStatus& status)
+    {
+        const json::value* field = object.if_contains("handover");
+        const json::object* handover = field ? field->if_object() : nullptr;
+        const json::value* to = handover ? handover->if_contains("to") : nullptr;
+        const json::value* base = handover ? handover->if_contains("base") : nullptr;
+        const json::value* end = handover ? handover->if_contains("end") : nullptr;
+        if (!to || !to->is_string() || !base || !base->is_number() || !end || !end->is_number())
+            return;
+        boost::system::error_code baseError;
+        boost::system::error_code endError;
+        const MapLead lead { base->to_number<uint64_t>(baseError), end->to_number<uint64_t>(endError) };
+        if (baseError || endError)
+            return;
+        status.successor = std::string(to->get_string());
+        status.lead = lead;
+    }
+
     json::object writeCounts(const std::map<std::string, uint32_t, std::less<>>& counts)
     {
         json::object object;
@@ -67,6 +85,8 @@
             slowness.emplace(endpoint, factor);
         object["slowness"] = std::move(slowness);
     }
+    if (!status.successor.empty())
+        object["handover"] = json::object { { "to", status.successor }, { "base", status.lead.base }, { "end", status.lead.end } };
     if (!status.deaths.empty())
         object["deaths"] = detail::writeCounts(status.deaths);
     return json::serialize(object);
@@ -86,6 +106,7 @@
     status.address = std::string(address->get_string());
     const json::value* leading = object->if_contains("leading");
     status.leading = leading && leading->is_bool() && leading->get_bool();
+    detail::readHandover(*object, status);
     const json::value* slowness = object->if_contains("slowness");
     if (slowness && slowness->is_object())
         for (const auto& [endpoint, factor] : slowness->get_object())
--- a/direct/peers.h
+++ b/direct/peers.h
@@ -1,6 +1,7 @@
 // Tells other entries how many requests this one has in flight, by datagrams, and hears theirs.
 #pragma once
 
+#include "direct/map-driver.h"
 #include "gateway/http.h"
 #include "routing/load.h"
 
@@ -18,6 +19,9 @@
     InFlightCounts inFlight;
     // It leads the expert maps.
     bool leading = false;
+    // Of an instance that stops: who is to go on with its lead of the expert maps, and what it gets.
+    std::string successor;
+    MapLead lead;
     // Of the leader: endpoints that take longer than usual, with how many times longer.
     std::map<std::string, double, std::less<>> slowness;
     // Digests of requests that endpoints died with, with the number of deaths.
--- a/direct/state.h
+++ b/direct/state.h
@@ -128,6 +128,8 @@
     void onSnapshot(BeliefSnapshot);
     void updateTargets();
     PeerStatus ownStatus() const;
+    // The first by name of the other entries that are alive, empty if there is none.
+    std::string firstLivePeer() const;
     void onPeer(PeerStatus);
     size_t instanceCount() const;
     Task<> joinPeers();
