--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,5 +4,6 @@
 cd "$(dirname "$0")/.."
 scripts/build.sh
 scripts/lint.sh
+scripts/check-names.sh
 ctest --test-dir build --output-on-failure -j 4
 scripts/check-faults.sh
