--- a/direct/direct.cc
+++ b/direct/direct.cc
@@ -285,8 +285,6 @@
 
 void DirectEntry::State::onPeer(PeerStatus status)
 {
-    for (const auto& [digest, deaths] : status.deaths)
-        poison.merge(digest, deaths, Clock::now());
     peersHeard.insert_or_assign(status.instance, Clock::now());
     if (status.leading) {
         maps->onLeaderHeard(Clock::now());
--- a/direct/peers-test.cc
+++ b/direct/peers-test.cc
@@ -13,7 +13,6 @@
     status.instance = "entry-1";
     status.address = "10.0.0.1:7340";
     status.inFlight = { { "e-1", 3 }, { "e-2", 1 } };
-    status.deaths = { { "digest", 2 } };
     status.leading = true;
     status.successor = "entry-2";
     status.lead = { 65'600, 131'072 };
@@ -23,7 +22,6 @@
     CHECK(read->instance == status.instance);
     CHECK(read->address == status.address);
     CHECK(read->inFlight == status.inFlight);
-    CHECK(read->deaths == status.deaths);
     CHECK(read->leading);
     CHECK(read->successor == status.successor);
     CHECK(read->lead == status.lead);
--- a/direct/peers.cc
+++ b/direct/peers.cc
@@ -87,8 +87,6 @@
     }
     if (!status.successor.empty())
         object["handover"] = json::object { { "to", status.successor }, { "base", status.lead.base }, { "end", status.lead.end } };
-    if (!status.deaths.empty())
-        object["deaths"] = detail::writeCounts(status.deaths);
     return json::serialize(object);
 }
 
@@ -113,7 +111,6 @@
             if (factor.is_number())
                 status.slowness.emplace(endpoint, factor.to_number<double>(error));
     detail::readCounts(*object, "inFlight", status.inFlight);
-    detail::readCounts(*object, "deaths", status.deaths);
     return status;
 }
 
--- a/direct/peers.h
+++ b/direct/peers.h
@@ -24,8 +24,6 @@
     MapLead lead;
     // Of the leader: endpoints that take longer than usual, with how many times longer.
     std::map<std::string, double, std::less<>> slowness;
-    // Digests of requests that endpoints died with, with the number of deaths.
-    std::map<std::string, uint32_t, std::less<>> deaths;
 };
 
 std::string encodePeerStatus(const PeerStatus&);
--- a/direct/request.cc
+++ b/direct/request.cc
@@ -2,7 +2,6 @@
 #include "direct/state.h"
 #include "telemetry/log.h"
 
-#include <base/digest.h>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
@@ -97,11 +96,6 @@
     }
     job.deadline = job.received + std::min(job.caller.timeLeft.value_or(detail::defaultTimeLeft), job.route->timeout);
     chooseService(job);
-    std::string content(request.target);
-    content += '\n' + job.account + '\n' + request.body;
-    job.digest = std::to_string(hash64(content));
-    if (poison.size() && poison.verdict(job.digest, job.received) == PoisonVerdict::Refuse)
-        return DirectRefusal { 503, Reason::Poisoned, Outcome::NotRun, detail::noEndpointRetryAfter };
     return std::nullopt;
 }
 
@@ -139,7 +133,7 @@
     }
 }
 
-Placement DirectEntry::State::place(const DirectJob& job, std::vector<std::shared_ptr<Target>>& open)
+PlaceChoice DirectEntry::State::place(const DirectJob& job, std::vector<std::shared_ptr<Target>>& open)
 {
     const TimePoint now = Clock::now();
     const ServiceProfile* service = beliefs.catalog->findService(job.service);
@@ -229,7 +223,7 @@
 bool DirectEntry::State::reserve(DirectJob& job)
 {
     std::vector<std::shared_ptr<Target>> open;
-    const Placement placement = place(job, open);
+    const PlaceChoice placement = place(job, open);
     if (placement.failure != PlaceFailure::None)
         return false;
     job.target = open[placement.index];
@@ -291,7 +285,7 @@
 {
     std::vector<std::shared_ptr<Target>> open;
     WaitQueue& queue = services[job.service].queue;
-    const Placement placement = place(job, open);
+    const PlaceChoice placement = place(job, open);
     if (placement.failure == PlaceFailure::None && (!queue.size() || job.attempts > 0) && reserve(job))
         co_return std::nullopt;
     if (placement.failure == PlaceFailure::NoneOpen)
@@ -312,10 +306,14 @@
     queue.remove(ticket);
     job.wait = nullptr;
     job.waited += std::chrono::duration_cast<Millis>(Clock::now() - from);
+    if (job.callerGone) {
+        // Its turn may have come as the caller left.
+        if (const auto reserved = std::exchange(job.target, nullptr))
+            loads.onEnded(reserved->record.id);
+        co_return DirectRefusal { 503, Reason::CallerGone, Outcome::NotRun, Millis(0) };
+    }
     if (job.target)
         co_return std::nullopt;
-    if (job.callerGone)
-        co_return DirectRefusal { 503, Reason::CallerGone, Outcome::NotRun, Millis(0) };
     co_return DirectRefusal { 503, Reason::QueueTooLong, Outcome::NotRun, queue.decide(wait, Clock::now()).retryAfter };
 }
 
--- a/direct/state.h
+++ b/direct/state.h
@@ -13,7 +13,6 @@
 #include "gateway/events.h"
 #include "platform/dialect.h"
 #include "platform/settings.h"
-#include "retry/poison.h"
 #include "retry/window.h"
 #include "routing/health.h"
 #include "routing/load.h"
@@ -40,8 +39,6 @@
     std::string account;
     int priority = 0;
     std::string service;
-    // Identifies the content among requests that endpoints died with.
-    std::string digest;
     TimePoint received = Clock::now();
     // The end of the caller's patience or of the route's timeout, whichever is sooner.
     TimePoint deadline;
@@ -104,7 +101,7 @@
     // Gives the job a target with a reserved place, or a refusal.
     Task<std::optional<DirectRefusal>> findPlace(DirectJob&);
     bool reserve(DirectJob&);
-    Placement place(const DirectJob&, std::vector<std::shared_ptr<Target>>& targets);
+    PlaceChoice place(const DirectJob&, std::vector<std::shared_ptr<Target>>& targets);
     // True if the service's engines hold as many streams as keep their pace.
     bool isPaceReached(const std::string& service, const std::vector<std::shared_ptr<Target>>& open);
     PaceProfile paceProfile(const Route&, const ServiceProfile&) const;
@@ -182,7 +179,6 @@
     EndpointHealth health;
     ColdLimit coldLimit;
     RetryWindow retries { RetryWindowSettings {} };
-    PoisonRecords poison;
     std::mt19937_64 random { std::random_device {}() };
     // Set at SIGTERM.
     std::optional<TimePoint> stoppingSince;
--- a/directory/catalog.h
+++ b/directory/catalog.h
@@ -50,15 +50,10 @@
 // Cost model of a model engine, as its operators publish it. Times are in milliseconds.
 struct EngineProfile {
     uint32_t slots = 1;
-    uint64_t tokenCapacity = 0;
     // Steps that one pass with writers executes.
     uint32_t stride = 1;
-    uint32_t chunkTokens = 512;
     double stepMs = 0;
     double perSequenceMs = 0;
-    double contextMsPerThousand = 0;
-    double promptTokensPerSecond = 0;
-    double pairsMsPerMillion = 0;
     // Age of what an engine reports of itself to other machines.
     Millis reportLag { 0 };
     // Share of the work for tokens that experts do.
@@ -71,8 +66,6 @@
     uint32_t expertsPerChange = 0;
     // Time for a rank to copy one expert.
     Millis expertCopyTime { 0 };
-    double usualPromptTokens = 0;
-    double usualAnswerTokens = 0;
 };
 
 struct ServiceProfile {
--- a/routing/placer-test.cc
+++ b/routing/placer-test.cc
@@ -97,7 +97,7 @@
         options.reserve(names.size());
         for (const std::string& name : names)
             options.push_back(option(name, tables[entry].estimate(name, now)));
-        const Placement placement = placeRequest(options, "z1");
+        const PlaceChoice placement = placeRequest(options, "z1");
         if (placement.failure != PlaceFailure::None)
             continue;
         tables[entry].onSent(names[placement.index]);
--- a/routing/placer.cc
+++ b/routing/placer.cc
@@ -29,9 +29,9 @@
 
 } // namespace detail
 
-Placement placeRequest(std::span<const PlaceOption> options, std::string_view zone)
+PlaceChoice placeRequest(std::span<const PlaceOption> options, std::string_view zone)
 {
-    Placement best { PlaceFailure::NoneOpen, 0 };
+    PlaceChoice best { PlaceFailure::NoneOpen, 0 };
     double bestCost = std::numeric_limits<double>::max();
     for (size_t index = 0; index < options.size(); ++index) {
         const PlaceOption& option = options[index];
--- a/routing/placer.h
+++ b/routing/placer.h
@@ -35,7 +35,7 @@
     AllFull
 };
 
-struct Placement {
+struct PlaceChoice {
     PlaceFailure failure = PlaceFailure::None;
     // Index of the option, if there is no failure.
     size_t index = 0;
@@ -45,6 +45,6 @@
 // caller's zone. Answers ranks that run in lock-step, where the fullest sets the pace of all, and
 // plain services with one slow or failing endpoint. Endpoints that are avoided or were tried are
 // taken only if there is no other.
-Placement placeRequest(std::span<const PlaceOption>, std::string_view zone);
+PlaceChoice placeRequest(std::span<const PlaceOption>, std::string_view zone);
 
 } // namespace orioletrail
