--- a/direct/map-driver.cc
+++ b/direct/map-driver.cc
@@ -37,6 +37,15 @@
     // New experts of a rank that are tried for a change.
     constexpr std::array<uint32_t, 5> budgetsTried = { 1, 2, 4, 7, 12 };
 
+    // While a group is held it stands still for each rank that cannot be reached, and a rank cannot
+    // be reached by anyone while its own machine, with its sidecar, stands still. Orders of that
+    // time come from the leader itself, so that no sidecar is part of them. The others are
+    // cheaper through sidecars.
+    bool goesDirectly(MapOrderKind kind)
+    {
+        return kind == MapOrderKind::Hold || kind == MapOrderKind::Arm || kind == MapOrderKind::Go;
+    }
+
     // Counts of a set brought to a sum of 1, so that readings of unequal length compare.
     void normalize(ExpertCounts& counts)
     {
@@ -112,7 +121,9 @@
     const TimePoint now = Clock::now();
     MapLeader& leader = group->leader;
     for (MapOrder& order : leader.orders(now)) {
-        const EngineAccess* way = wayTo(*group, order.rank, now);
+        const auto direct = group->direct.find(order.rank);
+        const bool isDirect = detail::goesDirectly(order.kind) && group->directEpoch == leader.epoch() && direct != group->direct.end();
+        const EngineAccess* way = isDirect ? &direct->second : wayTo(*group, order.rank, now);
         if (way)
             asio::co_spawn(m_executor, sendOrder(group, *way, std::move(order)), asio::detached);
         else
