Let a partly armed group go under a new leader

After the first rank was disarmed the reports counted as old, so the answers of the others no longer matched an order that was due, and those ranks were taken to have an order under way for ever. The explorer does not see it, since its answers come one by one.

Change: an answer ends the order under way also if it has become needless. The test with answers in one batch failed before.

--- a/expertmap/map-leader-test.cc
+++ b/expertmap/map-leader-test.cc
@@ -391,3 +391,37 @@
     rules.freshSteps = false;
     CHECK(stepHeldAfterSettling(rules) == 23);
 }
+
+TEST_CASE("a new leader lets a group go in which some ranks are armed")
+{
+    MapLeaderSettings settings;
+    settings.ranks = rankCount;
+    MapLeader leader(settings);
+    TimePoint now { std::chrono::hours(1) };
+    EngineGroup group;
+    group.step = 21;
+    group.ranks[0].held = 25;
+    for (EngineRank& rank : group.ranks)
+        rank.prepared = 7;
+    for (const uint32_t rank : { 0U, 1U })
+        group.ranks[rank].armed = std::pair<uint64_t, uint64_t>(7, 25);
+    leader.lead(numbersPerLease, now);
+    // Answers arrive one tick after all orders of a round were carried out, that of the rank which
+    // holds the group last.
+    std::vector<std::pair<MapOrder, OrderAnswer>> answers;
+    for (int i = 0; i < 100 && group.step < 30; ++i) {
+        now += tick;
+        for (auto answer = answers.rbegin(); answer != answers.rend(); ++answer)
+            leader.onAnswer(answer->first, answer->second, now);
+        answers.clear();
+        for (uint32_t rank = 0; rank < rankCount; ++rank)
+            leader.onReport(group.report(rank), now, now);
+        for (MapOrder& order : leader.orders(now)) {
+            const OrderAnswer answer = group.accept(order);
+            answers.emplace_back(std::move(order), answer);
+        }
+        REQUIRE(group.beginPass());
+    }
+    CHECK(group.step == 30);
+    CHECK(leader.phase() == MapPhase::Ready);
+}
--- a/expertmap/map-leader.cc
+++ b/expertmap/map-leader.cc
@@ -223,12 +223,11 @@
         return;
     }
     Rank& rank = m_ranks[order.rank];
+    // Also if the order has become needless: the rank may need another one.
+    rank.inFlight = false;
     const std::optional<MapOrder> expected = orderFor(order.rank);
     const bool isPresent = expected && expected->kind == order.kind && expected->version == order.version && expected->step == order.step;
-    if (!isPresent)
-        return;
-    rank.inFlight = false;
-    if (answer == OrderAnswer::Unknown)
+    if (!isPresent || answer == OrderAnswer::Unknown)
         return;
     if (answer == OrderAnswer::Accepted) {
         if (m_phase == MapPhase::Settling || m_phase == MapPhase::Ready) {
