Hand the lead of the expert maps to one process, once

An instance that starts again under its name, or that resigned while the offer was still repeated, could have taken it twice too. A second cause, seen once the first was mended: a stopping entry counted as alive. It was named successor though it refuses, and the others waited three times as long before they took the lead, since it came before them by name (3.3 s without a leader, a group held for 2.6 s). Ruled out: the store's conditional write, which gave each lead once. Change: LeadHandover makes an offer once, to one process of an instance (each process draws a number), and takes one once. LivePeers passes over entries that are stopping.

--- a/direct/direct.cc
+++ b/direct/direct.cc
@@ -17,8 +17,6 @@
 
     constexpr Millis tickInterval { 50 };
     constexpr Millis expiryInterval { 500 };
-    // Some missed rounds of status messages.
-    constexpr Millis peerAlive { 500 };
     constexpr Millis slownessHold { 1500 };
     // On top of the lag that engines state.
     constexpr Millis reportLagMargin { 100 };
@@ -94,6 +92,7 @@
     hooks.own = [this] { return ownStatus(); };
     hooks.heard = [this](PeerStatus status) { onPeer(std::move(status)); };
     peers = std::make_unique<PeerExchange>(traffic.get_executor(), std::move(hooks));
+    handover = std::make_unique<LeadHandover>(InstanceRun { platform.instance, random() });
     startMaps();
     if (!readiness->listen(readinessAddress->first, readinessAddress->second)) {
         reason = readiness->lastError();
@@ -224,12 +223,7 @@
     hooks.profile = [this](const std::string& service) { return expertProfile(service); };
     hooks.expectedPause = [this](const std::string& service, double unevenness) { return expectedPause(service, unevenness); };
     hooks.claim = [this] { return claimLead(); };
-    hooks.isFirst = [this] {
-        const TimePoint now = Clock::now();
-        return std::none_of(peersHeard.begin(), peersHeard.end(), [&](const auto& peer) {
-            return peer.first < platform.instance && now - peer.second < detail::peerAlive;
-        });
-    };
+    hooks.isFirst = [this] { return livePeers.isFirst(platform.instance, Clock::now()); };
     maps = std::make_unique<MapDriver>(traffic.get_executor(), MapDriverSettings {}, std::move(hooks), metrics);
 }
 
@@ -245,8 +239,14 @@
 
 void DirectEntry::State::takeSlowness(std::map<std::string, double, std::less<>> heard)
 {
-    slowness = std::move(heard);
     slownessHeard = Clock::now();
+    if (heard == slowness)
+        return;
+    slowness = std::move(heard);
+    std::string endpoints;
+    for (const auto& [endpoint, factor] : slowness)
+        endpoints += endpoint + '=' + std::to_string(factor) + ' ';
+    log(LogLevel::Info, "slow endpoints", { { "endpoints", endpoints } });
 }
 
 double DirectEntry::State::slownessOf(std::string_view endpoint) const
@@ -260,39 +260,32 @@
     co_return co_await asio::co_spawn(controlIo, registry->takeLease("expert-maps", platform.instance), asio::use_awaitable);
 }
 
-std::string DirectEntry::State::firstLivePeer() const
-{
-    const TimePoint now = Clock::now();
-    const auto first = std::find_if(peersHeard.begin(), peersHeard.end(), [&](const auto& peer) { return now - peer.second < detail::peerAlive; });
-    return first == peersHeard.end() ? std::string() : first->first;
-}
-
-PeerStatus DirectEntry::State::ownStatus() const
+PeerStatus DirectEntry::State::ownStatus()
 {
     PeerStatus status;
-    status.instance = platform.instance;
+    status.sender = handover->own();
     status.address = platform.address + ':' + std::to_string(platform.firstPeerPort);
     status.inFlight = loads.ownCounts();
     status.leading = maps->isLeading();
+    status.stopping = stoppingSince.has_value();
     if (status.leading)
         status.slowness = maps->slowEndpoints();
-    if (maps->handedOver()) {
-        status.successor = firstLivePeer();
-        status.lead = *maps->handedOver();
-    }
+    if (maps->handedOver())
+        status.offer = handover->offer(*maps->handedOver(), [this] { return livePeers.first(Clock::now()); });
     return status;
 }
 
 void DirectEntry::State::onPeer(PeerStatus status)
 {
-    peersHeard.insert_or_assign(status.instance, Clock::now());
+    livePeers.onHeard(status.sender, status.stopping, Clock::now());
     if (status.leading) {
         maps->onLeaderHeard(Clock::now());
         takeSlowness(std::move(status.slowness));
     }
-    if (status.successor == platform.instance)
-        maps->takeOver(status.lead);
-    loads.onPeerCounts(status.instance, std::move(status.inFlight), Clock::now());
+    const std::optional<MapLead> taken = status.offer ? handover->take(*status.offer) : std::nullopt;
+    if (taken)
+        maps->takeOver(*taken);
+    loads.onPeerCounts(status.sender.instance, std::move(status.inFlight), Clock::now());
     for (auto& [service, state] : services)
         wakeWaiting(service);
 }
--- a/direct/map-driver.cc
+++ b/direct/map-driver.cc
@@ -29,9 +29,8 @@
     constexpr uint64_t numbersLeft = 1000;
     // An endpoint counts as slow from here on.
     constexpr double slowFrom = 1.2;
-    // An engine that has missed two reports gets requests only if there is no other.
+    // An engine that has missed two reports is silent.
     constexpr Millis silentFrom { 1000 };
-    constexpr double silentSlowness = 100;
     // Passes take longer by this factor while ranks copy.
     constexpr double copySlowdown = 1.15;
     // New experts of a rank that are tried for a change.
@@ -328,7 +327,7 @@
         for (const auto& [rank, engine] : group->direct) {
             const auto access = group->ranks.find(rank);
             const bool isSilent = access != group->ranks.end() && now - access->second.heard > detail::silentFrom;
-            const double factor = isSilent ? detail::silentSlowness : rank < group->slowness.size() ? group->slowness[rank]
+            const double factor = isSilent ? silentSlowness : rank < group->slowness.size() ? group->slowness[rank]
                                                                                                     : 1;
             if (factor > detail::slowFrom)
                 slow.emplace(engine.name, factor);
--- a/direct/map-driver.h
+++ b/direct/map-driver.h
@@ -2,6 +2,7 @@
 // engines change to them. One instance of all leads at a time.
 #pragma once
 
+#include "direct/handover.h"
 #include "directory/beliefs.h"
 #include "expertmap/forecast.h"
 #include "platform/engine.h"
@@ -9,6 +10,10 @@
 
 namespace orioletrail {
 
+// Told in place of a factor for an engine that does not report: it gets requests only if there is
+// no other.
+constexpr double silentSlowness = 100;
+
 // A way to an engine.
 struct EngineAccess {
     // Endpoint, or instance of its sidecar.
@@ -63,16 +68,6 @@
 // better. Ranks copy while passes take somewhat longer.
 MapProposal proposeMap(const ExpertMap&, const ExpertCounts&, const RankSlowness&, const EngineProfile&, const MapDriverSettings&);
 
-// The right to lead, as the numbers that fences and versions may be taken from. Whoever takes the
-// lead in the store gets higher ones than all before.
-struct MapLead {
-    // Numbers above this one are free.
-    uint64_t base = 0;
-    uint64_t end = 0;
-
-    bool operator==(const MapLead&) const = default;
-};
-
 class MapDriver {
 public:
     struct Hooks {
--- a/direct/peers-test.cc
+++ b/direct/peers-test.cc
@@ -10,27 +10,29 @@
 TEST_CASE("a status is read as it was written, and other bytes are no status")
 {
     PeerStatus status;
-    status.instance = "entry-1";
+    status.sender = { "entry-1", 17'000'000'000'000'000'000U };
     status.address = "10.0.0.1:7340";
     status.inFlight = { { "e-1", 3 }, { "e-2", 1 } };
     status.leading = true;
-    status.successor = "entry-2";
-    status.lead = { 65'600, 131'072 };
+    status.stopping = true;
+    status.offer = LeadOffer { { "entry-2", 5 }, { 65'600, 131'072 } };
     status.slowness = { { "e-1", 4.5 } };
     const auto read = decodePeerStatus(encodePeerStatus(status));
     REQUIRE(read);
-    CHECK(read->instance == status.instance);
+    CHECK(read->sender == status.sender);
     CHECK(read->address == status.address);
     CHECK(read->inFlight == status.inFlight);
     CHECK(read->leading);
-    CHECK(read->successor == status.successor);
-    CHECK(read->lead == status.lead);
+    CHECK(read->stopping);
+    CHECK(read->offer == status.offer);
     CHECK(read->slowness == status.slowness);
     CHECK_FALSE(decodePeerStatus(""));
     CHECK_FALSE(decodePeerStatus("[]"));
-    CHECK_FALSE(decodePeerStatus(R"({"instance":5,"address":"x"})"));
-    CHECK(decodePeerStatus(R"({"instance":"a","address":"x","inFlight":{"e":"many"}})")->inFlight.empty());
-    CHECK(decodePeerStatus(R"({"instance":"a","address":"x","handover":{"to":"b","base":-1,"end":5}})")->successor.empty());
+    CHECK_FALSE(decodePeerStatus(R"({"instance":5,"run":1,"address":"x"})"));
+    CHECK_FALSE(decodePeerStatus(R"({"instance":"a","address":"x"})"));
+    CHECK(decodePeerStatus(R"({"instance":"a","run":1,"address":"x","inFlight":{"e":"many"}})")->inFlight.empty());
+    CHECK_FALSE(decodePeerStatus(R"({"instance":"a","run":1,"address":"x","handover":{"to":"b","run":2,"base":-1,"end":5}})")->offer);
+    CHECK_FALSE(decodePeerStatus(R"({"instance":"a","run":1,"address":"x","handover":{"to":"b","base":1,"end":5}})")->offer);
 }
 
 TEST_CASE("a lead goes on in another instance without the store, as long as numbers are left")
--- a/direct/peers.cc
+++ b/direct/peers.cc
@@ -36,22 +36,50 @@
         }
     }
 
-    void readHandover(const json::object& object, PeerStatus& status)
+    std::optional<uint64_t> readNumber(const json::object& object, std::string_view name)
+    {
+        const json::value* field = object.if_contains(name);
+        if (!field || !field->is_number())
+            return std::nullopt;
+        boost::system::error_code error;
+        const auto number = field->to_number<uint64_t>(error);
+        return error ? std::nullopt : std::optional(number);
+    }
+
+    std::optional<std::string> readText(const json::object& object, std::string_view name)
+    {
+        const json::value* field = object.if_contains(name);
+        return field && field->is_string() ? std::optional(std::string(field->get_string())) : std::nullopt;
+    }
+
+    bool readFlag(const json::object& object, std::string_view name)
+    {
+        const json::value* field = object.if_contains(name);
+        return field && field->is_bool() && field->get_bool();
+    }
+
+    // The process that a member names, by its instance and its number.
+    std::optional<InstanceRun> readRun(const json::object& object, std::string_view name)
+    {
+        const auto instance = readText(object, name);
+        const auto run = readNumber(object, "run");
+        if (!instance || !run)
+            return std::nullopt;
+        return InstanceRun { *instance, *run };
+    }
+
+    std::optional<LeadOffer> readOffer(const json::object& object)
     {
         const json::value* field = object.if_contains("handover");
         const json::object* handover = field ? field->if_object() : nullptr;
-        const json::value* to = handover ? handover->if_contains("to") : nullptr;
-        const json::value* base = handover ? handover->if_contains("base") : nullptr;
-        const json::value* end = handover ? handover->if_contains("end") : nullptr;
-        if (!to || !to->is_string() || !base || !base->is_number() || !end || !end->is_number())
-            return;
-        boost::system::error_code baseError;
-        boost::system::error_code endError;
-        const MapLead lead { base->to_number<uint64_t>(baseError), end->to_number<uint64_t>(endError) };
-        if (baseError || endError)
-            return;
-        status.successor = std::string(to->get_string());
-        status.lead = lead;
+        if (!handover)
+            return std::nullopt;
+        const auto successor = readRun(*handover, "to");
+        const auto base = readNumber(*handover, "base");
+        const auto end = readNumber(*handover, "end");
+        if (!successor || !base || !end)
+            return std::nullopt;
+        return LeadOffer { *successor, { *base, *end } };
     }
 
     json::object writeCounts(const std::map<std::string, uint32_t, std::less<>>& counts)
@@ -75,7 +103,8 @@
 std::string encodePeerStatus(const PeerStatus& status)
 {
     json::object object;
-    object["instance"] = status.instance;
+    object["instance"] = status.sender.instance;
+    object["run"] = status.sender.run;
     object["address"] = status.address;
     object["inFlight"] = detail::writeCounts(status.inFlight);
     if (status.leading) {
@@ -85,8 +114,10 @@
             slowness.emplace(endpoint, factor);
         object["slowness"] = std::move(slowness);
     }
-    if (!status.successor.empty())
-        object["handover"] = json::object { { "to", status.successor }, { "base", status.lead.base }, { "end", status.lead.end } };
+    if (status.stopping)
+        object["stopping"] = true;
+    if (const auto& offer = status.offer)
+        object["handover"] = json::object { { "to", offer->successor.instance }, { "run", offer->successor.run }, { "base", offer->lead.base }, { "end", offer->lead.end } };
     return json::serialize(object);
 }
 
@@ -95,16 +126,18 @@
     boost::system::error_code error;
     const json::value value = json::parse(text, error);
     const json::object* object = error ? nullptr : value.if_object();
-    const json::value* instance = object ? object->if_contains("instance") : nullptr;
-    const json::value* address = object ? object->if_contains("address") : nullptr;
-    if (!instance || !instance->is_string() || !address || !address->is_string())
+    if (!object)
+        return std::nullopt;
+    const auto sender = detail::readRun(*object, "instance");
+    const auto address = detail::readText(*object, "address");
+    if (!sender || !address)
         return std::nullopt;
     PeerStatus status;
-    status.instance = std::string(instance->get_string());
-    status.address = std::string(address->get_string());
-    const json::value* leading = object->if_contains("leading");
-    status.leading = leading && leading->is_bool() && leading->get_bool();
-    detail::readHandover(*object, status);
+    status.sender = *sender;
+    status.address = *address;
+    status.leading = detail::readFlag(*object, "leading");
+    status.stopping = detail::readFlag(*object, "stopping");
+    status.offer = detail::readOffer(*object);
     const json::value* slowness = object->if_contains("slowness");
     if (slowness && slowness->is_object())
         for (const auto& [endpoint, factor] : slowness->get_object())
@@ -184,7 +217,7 @@
             continue;
         }
         if (!m_peers.contains(status->address))
-            log(LogLevel::Info, "peer heard", { { "peer", status->instance }, { "address", status->address } });
+            log(LogLevel::Info, "peer heard", { { "peer", status->sender.instance }, { "address", status->address } });
         add(status->address);
         m_hooks.heard(std::move(*status));
     }
--- a/direct/peers.h
+++ b/direct/peers.h
@@ -1,7 +1,7 @@
 // Tells other entries how many requests this one has in flight, by datagrams, and hears theirs.
 #pragma once
 
-#include "direct/map-driver.h"
+#include "direct/handover.h"
 #include "gateway/http.h"
 #include "routing/load.h"
 
@@ -13,15 +13,16 @@
 
 // What one entry tells the others.
 struct PeerStatus {
-    std::string instance;
+    InstanceRun sender;
     // IP:PORT at which it hears.
     std::string address;
     InFlightCounts inFlight;
     // It leads the expert maps.
     bool leading = false;
-    // Of an instance that stops: who is to go on with its lead of the expert maps, and what it gets.
-    std::string successor;
-    MapLead lead;
+    // It serves no more new requests.
+    bool stopping = false;
+    // Of an instance that stops, if it led the expert maps.
+    std::optional<LeadOffer> offer;
     // Of the leader: endpoints that take longer than usual, with how many times longer.
     std::map<std::string, double, std::less<>> slowness;
 };
--- a/direct/state.h
+++ b/direct/state.h
@@ -6,6 +6,7 @@
 #include "admission/wait-queue.h"
 #include "direct/direct.h"
 #include "direct/keeper.h"
+#include "direct/live-peers.h"
 #include "direct/map-driver.h"
 #include "direct/peers.h"
 #include "direct/registry.h"
@@ -56,6 +57,8 @@
     std::shared_ptr<Target> target;
     std::shared_ptr<HttpCallToken> token;
     TimePoint lastEventAt;
+    // Pieces with events that were passed on.
+    uint32_t pieces = 0;
     // Ends the wait for a place.
     std::shared_ptr<boost::asio::steady_timer> wait;
     Millis waited { 0 };
@@ -70,6 +73,8 @@
     double firstEventMs = 0;
     // Usual time that an answer holds its place.
     double heldMs = 0;
+    // Usual number of events of a streamed answer that arrive at separate times.
+    double usualEvents = 0;
 };
 
 // How an attempt ended. An answer of the endpoint's that is to be passed on is kept in `answer`.
@@ -124,9 +129,7 @@
     // Beliefs and peers.
     void onSnapshot(BeliefSnapshot);
     void updateTargets();
-    PeerStatus ownStatus() const;
-    // The first by name of the other entries that are alive, empty if there is none.
-    std::string firstLivePeer() const;
+    PeerStatus ownStatus();
     void onPeer(PeerStatus);
     size_t instanceCount() const;
     Task<> joinPeers();
@@ -170,8 +173,8 @@
     // Engines that take longer than usual, as the leader of the expert maps says, and when it said so.
     std::map<std::string, double, std::less<>> slowness;
     TimePoint slownessHeard;
-    // Instances heard of, with the time of the latest status.
-    std::map<std::string, TimePoint, std::less<>> peersHeard;
+    std::unique_ptr<LeadHandover> handover;
+    LivePeers livePeers;
     BeliefSnapshot beliefs;
     std::map<std::string, std::shared_ptr<Target>, std::less<>> targets;
     std::map<std::string, ServiceState, std::less<>> services;
