Bear slow, silent and crashing endpoints

The pace limit took the longer passes for the cost of streams (seen unevenness 12), so it went down to one or two streams an engine, all of them late all the same, and took 1.5 s to recover. The slow engine held as many streams as the others once those were full, and all ranks wait for it.

Cause, silent endpoints: a plain endpoint that stands still kept every request that it was sent until the caller's deadline, a third of all, until the platform dropped it. Change: an endpoint that answers nothing for eight times its usual first byte (0.3 to 1.5 s) counts as silent; requests that may be repeated are given up there and asked elsewhere within the retry budget, others keep waiting, and new ones that may not be repeated avoid it until it has answered one that may. Test: 20 lookups and 10 orders beside a stopped process; before, 3 s and 504 for most of them.

Cause, requests that crash endpoints: nothing remembered them between two attempts of a caller. Change: a lost connection is kept as evidence; once the endpoint's process is known to have ended, the request's digest counts a death, told to all entries; after three it is refused at once as not run (422) for 60 s. Deaths within a second count once, so that a lost zone condemns nobody; a digest that completes is cleared. Test: two entries, two endpoints; 8 runs before, 3 after.

Also tested now: an order to endpoints that stand still runs at most once, and an entry that stood still answers truthfully.

--- a/admission/pace-limit-test.cc
+++ b/admission/pace-limit-test.cc
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr PaceProfile profile { 4, 4.55, 0.905, 120 };
+constexpr PaceProfile profile { 4, 4.55, 0.905, 120, 233, 12, 1 };
 
 // Length of a pass in which each endpoint holds so many streams, if one rank has `unevenness`
 // times the mean load.
@@ -39,6 +39,47 @@
     }
 }
 
+TEST_CASE("with a slow engine as many streams are held as stay on time, or more if hardly any would")
+{
+    // A group whose passes wait for one slow rank, whatever it holds; loads are even beside that.
+    // Answers of 24 events, of use for 8 s; callers want more than the group can bear.
+    struct Played {
+        double streams = 0;
+        double gapMs = 0;
+        // Answers a second, those that are late counting half.
+        double value = 0;
+    };
+    const auto play = [](double slowest, double toldSlowest) {
+        constexpr double unevenness = 1.3;
+        constexpr double events = 24;
+        PaceProfile told = profile;
+        told.slowest = toldSlowest;
+        PaceLimit limit;
+        TimePoint now { std::chrono::hours(1) };
+        Played played;
+        for (int pass = 0; pass < 200; ++pass) {
+            played.streams = std::min(profile.slots, limit.streamsPerEndpoint(told));
+            played.gapMs = profile.stepsPerPass * (profile.stepMs * slowest + profile.perStreamMs * unevenness * played.streams);
+            now += Millis(static_cast<Millis::rep>(played.gapMs));
+            limit.onGap(played.gapMs, played.streams, told, now);
+        }
+        const double answerMs = events * played.gapMs;
+        const double worth = answerMs > 8000 ? 0 : played.gapMs <= profile.gapObjectiveMs ? 1
+                                                                                           : 0.5;
+        played.value = worth * 1000 * played.streams / answerMs;
+        return played;
+    };
+    const Played four = play(4, 4);
+    CHECK(four.gapMs < profile.gapObjectiveMs);
+    CHECK(four.streams > 5);
+    const Played six = play(6, 6);
+    CHECK(six.streams == profile.slots);
+    CHECK(six.value > 2 * play(6, 1).value);
+    const Played twelve = play(12, 12);
+    CHECK(twelve.gapMs <= profile.bearableGapMs + 1);
+    CHECK(twelve.value > play(12, 1).value);
+}
+
 TEST_CASE("a stall and a service without a pace change nothing")
 {
     PaceLimit limit;
--- a/admission/pace-limit.cc
+++ b/admission/pace-limit.cc
@@ -18,6 +18,14 @@
     // With fewer streams a pass is mostly its fixed part.
     constexpr double leastStreams = 1;
     constexpr double mostUneven = 12;
+    // What a stream that is late is worth to its caller, against one on time.
+    constexpr double lateValue = 0.5;
+
+    // Time of a step that does not depend on streams. All ranks wait for the slowest.
+    double fixedPart(const PaceProfile& profile)
+    {
+        return profile.stepMs * std::max(1.0, profile.slowest);
+    }
 
 } // namespace detail
 
@@ -25,7 +33,7 @@
 {
     if (streams < detail::leastStreams || profile.perStreamMs <= 0 || gapMs > detail::stallFactor * profile.gapObjectiveMs)
         return;
-    const double perStep = gapMs / profile.stepsPerPass - profile.stepMs;
+    const double perStep = gapMs / profile.stepsPerPass - detail::fixedPart(profile);
     const double seen = std::clamp(perStep / (profile.perStreamMs * streams), 1.0, detail::mostUneven);
     // Pauses of many streams arrive together, so the weight of each follows from the time between.
     const double elapsed = std::chrono::duration<double>(now - m_last).count();
@@ -38,8 +46,17 @@
 {
     if (profile.perStreamMs <= 0 || profile.gapObjectiveMs <= 0)
         return std::numeric_limits<double>::max();
-    const double perStep = detail::usedShare * profile.gapObjectiveMs / profile.stepsPerPass - profile.stepMs;
-    return std::max(detail::leastStreams, perStep / (profile.perStreamMs * m_unevenness));
+    const double fixed = detail::fixedPart(profile);
+    const double perStream = profile.perStreamMs * m_unevenness;
+    // Streams with which a pass takes so long.
+    const auto streamsFor = [&](double gapMs) { return std::max(detail::leastStreams, (gapMs / profile.stepsPerPass - fixed) / perStream); };
+    // Answers a second are proportional to this.
+    const auto rate = [&](double streams) { return streams / (fixed + perStream * streams); };
+    const double inTime = streamsFor(detail::usedShare * profile.gapObjectiveMs);
+    const double late = std::min(profile.slots, streamsFor(profile.bearableGapMs));
+    const bool isInTime = profile.stepsPerPass * (fixed + perStream * inTime) <= profile.gapObjectiveMs;
+    const double value = (isInTime ? 1 : detail::lateValue) * rate(inTime);
+    return late > inTime && detail::lateValue * rate(late) > value ? late : inTime;
 }
 
 } // namespace orioletrail
--- a/base/types.cc
+++ b/base/types.cc
@@ -14,7 +14,7 @@
         "zone-out", "leaving", "not-probed", "unreachable", "ledger-full",
         "platform-down", "no-configuration", "deadline", "endpoint-died", "endpoint-cut", "connection-lost",
         "truncated", "poisoned", "caller-gone", "shutting-down", "endpoint-refused", "wrong-endpoint",
-        "endpoint-failed", "spoiled-answer", "queue-too-long", "no-endpoint"
+        "endpoint-failed", "endpoint-silent", "spoiled-answer", "queue-too-long", "no-endpoint"
     };
 
 } // namespace detail
--- a/base/types.h
+++ b/base/types.h
@@ -68,6 +68,8 @@
     WrongEndpoint,
     // The endpoint answered with a failure of its own.
     EndpointFailed,
+    // The endpoint answered nothing at all for longer than it ever takes.
+    EndpointSilent,
     // The answer was not whole, not the endpoint's, or another request's.
     SpoiledAnswer,
     // Waiting for a place would make the answer late.
--- a/direct/attempt.cc
+++ b/direct/attempt.cc
@@ -1,4 +1,5 @@
 // One attempt at a request, at one endpoint.
+#include "base/digest.h"
 #include "direct/state.h"
 #include "telemetry/log.h"
 
@@ -74,8 +75,10 @@
     bool callerTakes = true;
     TimePoint firstByte = sent;
     HttpStreamHooks hooks;
+    const std::shared_ptr<SilenceWatch> silence = watchSilence(job, target);
     hooks.head = [&](unsigned status, const HeaderList& headers) -> Task<> {
         firstByte = Clock::now();
+        silence->end();
         head = decodeHead(status, headers);
         answer.status = status;
         answer.headers = endToEndHeaders(headers);
@@ -104,6 +107,7 @@
             job.token->cancel();
     };
     const HttpResult ended = co_await target->client->stream(std::move(call), std::move(hooks));
+    silence->end();
     loads.onEnded(target->record.id);
     DirectResult result;
     if (streams && ended.ok()) {
@@ -118,6 +122,8 @@
         result.outcome = Outcome::Answered;
     } else {
         result = judge(job, ended, head, std::move(answer.body));
+        if (silence->gaveUp && result.reason == Reason::CallerGone && !job.callerGone)
+            result.reason = Reason::EndpointSilent;
         if (result.answer) {
             result.answer->status = answer.status;
             result.answer->headers = std::move(answer.headers);
@@ -129,16 +135,70 @@
         const double held = std::chrono::duration<double, std::milli>(Clock::now() - sent).count();
         ServiceState& state = services[job.service];
         state.heldMs = state.heldMs > 0 ? state.heldMs + detail::latestHeld * (held - state.heldMs) : held;
+        if (streams)
+            state.usualEvents = state.usualEvents > 0 ? state.usualEvents + detail::latestHeld * (job.pieces - state.usualEvents) : job.pieces;
         metrics.observe("orioletrail_answer_seconds", Clock::now() - job.received);
         logEnd(job, answer.status, Reason::None, Outcome::Answered);
     }
     const bool failed = result.reason == Reason::EndpointFailed || result.reason == Reason::SpoiledAnswer;
     if (ended.ok())
         health.onAnswer(target->record.id, std::chrono::duration_cast<Millis>(firstByte - sent), failed, Clock::now());
+    if (result.outcome == Outcome::Answered && poison.size())
+        poison.onCompleted(digestOf(request, job));
+    if (ended.failure == HttpFailure::Lost && !job.callerGone)
+        crashes.onLost(target->record.id, digestOf(request, job), Clock::now());
+    if (ended.failure == HttpFailure::Connect)
+        onEndpointEnded(target->record.id);
     onAttemptEnded(job, result, ended, head);
     co_return result;
 }
 
+std::shared_ptr<SilenceWatch> DirectEntry::State::watchSilence(DirectJob& job, const std::shared_ptr<Target>& target)
+{
+    auto watch = std::make_shared<SilenceWatch>(traffic);
+    const ServiceProfile* service = beliefs.catalog->findService(job.service);
+    // All ranks of a group stand still for one that is silent; another would answer no sooner.
+    if (!service || service->engine)
+        return watch;
+    const TimePoint sent = Clock::now();
+    watch->timer.expires_after(health.silenceLimit(target->record.id));
+    watch->timer.async_wait([this, watch, &job, target, sent](boost::system::error_code error) {
+        const std::string& endpoint = target->record.id;
+        if (error || watch->over || health.hasAnsweredSince(endpoint, sent))
+            return;
+        const TimePoint now = Clock::now();
+        health.onSilent(endpoint, now);
+        watch->gaveUp = mayAskAnother(job);
+        log(LogLevel::Warning, "endpoint silent", { { "request", job.caller.id }, { "endpoint", endpoint }, { "silentMs", std::to_string(std::chrono::duration_cast<Millis>(now - sent).count()) }, { "asksAnother", watch->gaveUp ? "true" : "false" } });
+        if (watch->gaveUp)
+            job.token->cancel();
+    });
+    return watch;
+}
+
+bool DirectEntry::State::mayAskAnother(const DirectJob& job)
+{
+    if (job.route->repeat != RepeatRule::Idempotent || job.accepted + 1 >= job.route->maxAttempts || !retries.hasRoom(job.service, Clock::now()))
+        return false;
+    std::vector<std::shared_ptr<Target>> open;
+    const PlaceChoice choice = place(job, open);
+    return choice.failure == PlaceFailure::None && std::find(job.tried.begin(), job.tried.end(), open[choice.index]->record.id) == job.tried.end();
+}
+
+std::string DirectEntry::State::digestOf(const HttpRequest& request, const DirectJob& job) const
+{
+    return std::to_string(hash64(request.body, hash64(request.target, hash64(job.account, hash64(job.service)))));
+}
+
+void DirectEntry::State::onEndpointEnded(const std::string& endpoint)
+{
+    const TimePoint now = Clock::now();
+    for (const std::string& digest : crashes.onEnded(endpoint, now)) {
+        const uint32_t deaths = poison.onDeath(digest, now);
+        log(LogLevel::Warning, "request was lost with its endpoint", { { "digest", digest }, { "endpoint", endpoint }, { "deaths", std::to_string(deaths) } });
+    }
+}
+
 DirectResult DirectEntry::State::judge(DirectJob& job, const HttpResult& ended, const EndpointHead& head, std::string body)
 {
     DirectResult result;
--- a/direct/direct.cc
+++ b/direct/direct.cc
@@ -20,6 +20,14 @@
     constexpr Millis slownessHold { 1500 };
     // On top of the lag that engines state.
     constexpr Millis reportLagMargin { 100 };
+    // Many rounds of status messages, in case some are lost.
+    constexpr Millis deathsToldFor { 3000 };
+    // Deaths of endpoints after which a request is refused. The request may be innocent, so it may
+    // try again after some time, in which its callers have given up.
+    constexpr uint32_t deathsUntilRefused = 3;
+    constexpr Millis deathsRemembered { 60'000 };
+    // A lost machine or zone ends endpoints within less.
+    constexpr Millis leastBetweenDeaths { 1000 };
     // The balancer asks once a second and takes an instance out after two misses.
     constexpr Millis balancerNotices { 2200 };
     // Kept between the end of the drain and the end by force.
@@ -72,6 +80,11 @@
         reason = "the settings name no store, no address for callers or none for readiness";
         return false;
     }
+    PoisonSettings poisonSettings;
+    poisonSettings.refuseAfter = detail::deathsUntilRefused;
+    poisonSettings.remember = detail::deathsRemembered;
+    poisonSettings.leastBetween = detail::leastBetweenDeaths;
+    poison = PoisonRecords(poisonSettings);
     retries = RetryWindow({ platform.retryRatio, platform.retrySlack / (2 * detail::leastInstances), platform.retryWindow });
     store = std::make_unique<StoreClient>(controlIo.get_executor(), StoreClientSettings { storeAddress->first, storeAddress->second, settings.storeTimeout }, metrics);
     keeper = std::make_unique<BeliefKeeper>([this](BeliefSnapshot snapshot) {
@@ -166,6 +179,7 @@
     std::erase_if(targets, [&](const auto& item) {
         if (beliefs.endpoints.contains(item.first))
             return false;
+        onEndpointEnded(item.first);
         health.forget(item.first);
         loads.forget(item.first);
         coldLimit.forget(item.first);
@@ -179,6 +193,7 @@
             continue;
         }
         health.forget(id);
+        onEndpointEnded(id);
         target = std::make_shared<Target>();
         target->record = record;
         target->client = std::make_shared<HttpClient>(traffic.get_executor(), record.host, record.port);
@@ -234,7 +249,7 @@
     if (!profile || pace.gapObjectiveMs <= 0)
         return 1;
     const double perStream = pace.perStreamMs * (1 - profile->expertShare + profile->expertShare * unevenness);
-    return pace.stepsPerPass * (pace.stepMs + perStream * meanStreams(name)) / pace.gapObjectiveMs;
+    return pace.stepsPerPass * (pace.stepMs * pace.slowest + perStream * meanStreams(name)) / pace.gapObjectiveMs;
 }
 
 void DirectEntry::State::takeSlowness(std::map<std::string, double, std::less<>> heard)
@@ -266,6 +281,7 @@
     status.sender = handover->own();
     status.address = platform.address + ':' + std::to_string(platform.firstPeerPort);
     status.inFlight = loads.ownCounts();
+    status.deaths = poison.changedSince(Clock::now() - detail::deathsToldFor);
     status.leading = maps->isLeading();
     status.stopping = stoppingSince.has_value();
     if (status.leading)
@@ -282,6 +298,8 @@
         maps->onLeaderHeard(Clock::now());
         takeSlowness(std::move(status.slowness));
     }
+    for (const auto& [digest, deaths] : status.deaths)
+        poison.merge(digest, deaths, Clock::now());
     const std::optional<MapLead> taken = status.offer ? handover->take(*status.offer) : std::nullopt;
     if (taken)
         maps->takeOver(*taken);
--- a/direct/peers-test.cc
+++ b/direct/peers-test.cc
@@ -13,6 +13,7 @@
     status.sender = { "entry-1", 17'000'000'000'000'000'000U };
     status.address = "10.0.0.1:7340";
     status.inFlight = { { "e-1", 3 }, { "e-2", 1 } };
+    status.deaths = { { "123", 2 } };
     status.leading = true;
     status.stopping = true;
     status.offer = LeadOffer { { "entry-2", 5 }, { 65'600, 131'072 } };
@@ -22,6 +23,7 @@
     CHECK(read->sender == status.sender);
     CHECK(read->address == status.address);
     CHECK(read->inFlight == status.inFlight);
+    CHECK(read->deaths == status.deaths);
     CHECK(read->leading);
     CHECK(read->stopping);
     CHECK(read->offer == status.offer);
--- a/direct/peers.cc
+++ b/direct/peers.cc
@@ -107,6 +107,8 @@
     object["run"] = status.sender.run;
     object["address"] = status.address;
     object["inFlight"] = detail::writeCounts(status.inFlight);
+    if (!status.deaths.empty())
+        object["deaths"] = detail::writeCounts(status.deaths);
     if (status.leading) {
         object["leading"] = true;
         json::object slowness;
@@ -144,6 +146,7 @@
             if (factor.is_number())
                 status.slowness.emplace(endpoint, factor.to_number<double>(error));
     detail::readCounts(*object, "inFlight", status.inFlight);
+    detail::readCounts(*object, "deaths", status.deaths);
     return status;
 }
 
--- a/direct/peers.h
+++ b/direct/peers.h
@@ -17,6 +17,8 @@
     // IP:PORT at which it hears.
     std::string address;
     InFlightCounts inFlight;
+    // Requests that were lost with their endpoints, by digest, with how often that was.
+    std::map<std::string, uint32_t, std::less<>> deaths;
     // It leads the expert maps.
     bool leading = false;
     // It serves no more new requests.
--- a/direct/request.cc
+++ b/direct/request.cc
@@ -42,6 +42,9 @@
     // Requests that an endpoint of a plain service may hold for each of its slots: they queue
     // there for about as long as one takes.
     constexpr double plainLoadPerSlot = 2;
+    // Share of a route's time that the events of a usual answer may take; others are up to twice as
+    // long, and some of the time has passed before the first event.
+    constexpr double answerShareOfTimeout = 0.7;
     // Weight of the latest first event in their moving average: about the last ten count.
     constexpr double latestFirstEvent = 0.1;
 
@@ -96,6 +99,8 @@
     }
     job.deadline = job.received + std::min(job.caller.timeLeft.value_or(detail::defaultTimeLeft), job.route->timeout);
     chooseService(job);
+    if (poison.size() && poison.verdict(digestOf(request, job), job.received) == PoisonVerdict::Refuse)
+        return DirectRefusal { 422, Reason::Poisoned, Outcome::NotRun, Millis(0) };
     return std::nullopt;
 }
 
@@ -157,6 +162,9 @@
         option.zone = record.zone;
         option.load = loads.estimate(record.id, now);
         option.limit = loadPerSlot * record.slots;
+        // All wait for what a slow engine holds.
+        if (const double factor = slownessOf(record.id); factor < silentSlowness)
+            option.limit = std::max(1.0, option.limit / factor);
         const auto firstByte = static_cast<double>(health.firstByte(record.id).count());
         if (service && !service->engine && firstByte > 0 && sumFirstByte > 0)
             option.slowness = firstByte * static_cast<double>(seen) / sumFirstByte;
@@ -165,7 +173,7 @@
         option.failureShare = health.failureShare(record.id);
         option.closed = record.leaving || beliefs.closedZones.contains(record.zone)
             || (now < record.coldUntil && coldPerSecond > 0 && !coldLimit.mayTake(record.id, coldPerSecond, instanceCount(), now));
-        option.avoided = health.isAvoided(record.id, now);
+        option.avoided = health.isAvoided(record.id, !job.route || job.route->repeat == RepeatRule::Idempotent, now);
         option.tried = std::find(job.tried.begin(), job.tried.end(), record.id) != job.tried.end();
         options.push_back(option);
     }
@@ -183,6 +191,16 @@
     profile.stepMs = service.engine->stepMs;
     profile.perStreamMs = service.engine->perSequenceMs;
     profile.gapObjectiveMs = static_cast<double>(route.gapObjective.count());
+    if (const auto state = services.find(service.name); state != services.end() && state->second.usualEvents > 0)
+        profile.bearableGapMs = detail::answerShareOfTimeout * static_cast<double>(route.timeout.count()) / state->second.usualEvents;
+    for (const auto& [id, target] : targets) {
+        if (target->record.service != service.name)
+            continue;
+        profile.slots = std::max(profile.slots, static_cast<double>(target->record.slots));
+        // One that is silent gets no requests; how slow it is is not known.
+        if (const double factor = slownessOf(id); factor < silentSlowness)
+            profile.slowest = std::max(profile.slowest, factor);
+    }
     return profile;
 }
 
@@ -214,6 +232,7 @@
     const TimePoint now = Clock::now();
     const double sinceLast = std::chrono::duration<double, std::milli>(now - (job.begun ? job.lastEventAt : sent)).count();
     job.lastEventAt = now;
+    ++job.pieces;
     if (job.begun)
         state.pace.onGap(sinceLast, meanStreams(job.service), state.profile, now);
     else
--- a/direct/state.h
+++ b/direct/state.h
@@ -14,6 +14,8 @@
 #include "gateway/events.h"
 #include "platform/dialect.h"
 #include "platform/settings.h"
+#include "retry/crash-evidence.h"
+#include "retry/poison.h"
 #include "retry/window.h"
 #include "routing/health.h"
 #include "routing/load.h"
@@ -32,6 +34,25 @@
     std::shared_ptr<HttpClient> client;
 };
 
+// Notices that an endpoint answers nothing to a request.
+struct SilenceWatch {
+    explicit SilenceWatch(boost::asio::io_context& context)
+        : timer(context)
+    {
+    }
+
+    void end()
+    {
+        over = true;
+        timer.cancel();
+    }
+
+    boost::asio::steady_timer timer;
+    bool over = false;
+    // The attempt was given up for another endpoint.
+    bool gaveUp = false;
+};
+
 // A caller's request on its way.
 struct DirectJob {
     CallerRequest caller;
@@ -116,6 +137,13 @@
     // Places of the service that become free each second for this instance's part.
     double shareOfPlaces(const std::string& service);
     bool mayRetry(DirectJob&, const DirectResult&);
+    // Ends the attempt if the endpoint stays silent and another one may be asked.
+    std::shared_ptr<SilenceWatch> watchSilence(DirectJob&, const std::shared_ptr<Target>&);
+    bool mayAskAnother(const DirectJob&);
+    // Names what a request asks for and of whom, so that it is known when it comes again.
+    std::string digestOf(const HttpRequest&, const DirectJob&) const;
+    // The process of an endpoint has ended.
+    void onEndpointEnded(const std::string& endpoint);
     Task<DirectResult> attempt(const HttpRequest&, Responder&, DirectJob&);
     DirectResult judge(DirectJob&, const HttpResult&, const EndpointHead&, std::string body);
     void onAttemptEnded(DirectJob&, const DirectResult&, const HttpResult&, const EndpointHead&);
@@ -181,6 +209,8 @@
     LoadTable loads;
     EndpointHealth health;
     ColdLimit coldLimit;
+    PoisonRecords poison;
+    CrashEvidence crashes;
     RetryWindow retries { RetryWindowSettings {} };
     std::mt19937_64 random { std::random_device {}() };
     // Set at SIGTERM.
--- a/fakes/replica.cc
+++ b/fakes/replica.cc
@@ -1,6 +1,7 @@
 #include "fakes/replica.h"
 
 #include <boost/json.hpp>
+#include <cstdlib>
 
 namespace orioletrail::fakes {
 
@@ -49,6 +50,8 @@
             }
             m_fake.record({ { "what", "run" }, { "request", request.header("X-Request-Id") }, { "target", request.target }, { "account", request.header("X-Tenant") },
                 { "key", request.header("Authorization") }, { "timeLeft", request.header("X-Deadline-Ms") }, { "from", request.header("Last-Event-Id") } });
+            if (request.target.find("crash") != std::string::npos)
+                std::_Exit(1);
             ++m_running;
             if (fault == "slow")
                 co_await sleepFor(m_fake.faultDelay());
--- a/retry/poison-test.cc
+++ b/retry/poison-test.cc
@@ -25,6 +25,23 @@
     CHECK(records.verdict("d", now) == PoisonVerdict::Run);
 }
 
+TEST_CASE("endpoints that die together count once, and what has changed is told")
+{
+    PoisonSettings settings;
+    settings.refuseAfter = 3;
+    settings.leastBetween = Millis(1000);
+    PoisonRecords records(settings);
+    const TimePoint start { std::chrono::hours(1) };
+    for (int death = 0; death < 5; ++death)
+        records.onDeath("d", start);
+    CHECK(records.verdict("d", start) == PoisonVerdict::RunAlone);
+    records.onDeath("d", start + Millis(1000));
+    CHECK(records.onDeath("d", start + Millis(2000)) == 3);
+    CHECK(records.verdict("d", start + Millis(2000)) == PoisonVerdict::Refuse);
+    CHECK(records.changedSince(start + Millis(1500)).at("d") == 3);
+    CHECK(records.changedSince(start + Millis(2001)).empty());
+}
+
 TEST_CASE("numbers from peers only raise what is known")
 {
     PoisonRecords records;
--- a/retry/poison.cc
+++ b/retry/poison.cc
@@ -7,6 +7,8 @@
 uint32_t PoisonRecords::onDeath(std::string_view digest, TimePoint now)
 {
     const auto found = m_records.find(digest);
+    if (found != m_records.end() && now - found->second.last < m_settings.leastBetween)
+        return found->second.deaths;
     const uint32_t deaths = found == m_records.end() ? 1 : found->second.deaths + 1;
     merge(digest, deaths, now);
     return deaths;
@@ -38,6 +40,15 @@
     return found->second.deaths >= m_settings.refuseAfter ? PoisonVerdict::Refuse : PoisonVerdict::RunAlone;
 }
 
+std::map<std::string, uint32_t, std::less<>> PoisonRecords::changedSince(TimePoint time) const
+{
+    std::map<std::string, uint32_t, std::less<>> changed;
+    for (const auto& [digest, record] : m_records)
+        if (record.last >= time)
+            changed.emplace(digest, record.deaths);
+    return changed;
+}
+
 void PoisonRecords::dropOldest()
 {
     const auto oldest = std::min_element(m_records.begin(), m_records.end(),
--- a/retry/poison.h
+++ b/retry/poison.h
@@ -13,6 +13,8 @@
     Millis remember { 600'000 };
     // Oldest records beyond this many are dropped.
     size_t maxRecords = 4096;
+    // Deaths within this time count as one: what ends several endpoints at once is no request.
+    Millis leastBetween { 0 };
 };
 
 enum class PoisonVerdict : uint8_t {
@@ -41,6 +43,9 @@
 
     PoisonVerdict verdict(std::string_view digest, TimePoint) const;
 
+    // Numbers that have changed since then, to be told to peers.
+    std::map<std::string, uint32_t, std::less<>> changedSince(TimePoint) const;
+
     size_t size() const { return m_records.size(); }
 
 private:
--- a/retry/window.cc
+++ b/retry/window.cc
@@ -9,14 +9,19 @@
     service.requests.push_back(now);
 }
 
-bool RetryWindow::tryRetry(std::string_view name, TimePoint now)
+bool RetryWindow::hasRoom(std::string_view name, TimePoint now)
 {
     Service& service = serviceOf(name);
     dropOld(service, now);
     const double allowed = m_settings.ratio * static_cast<double>(service.requests.size()) + m_settings.slack;
-    if (static_cast<double>(service.retries.size() + 1) > allowed)
+    return static_cast<double>(service.retries.size() + 1) <= allowed;
+}
+
+bool RetryWindow::tryRetry(std::string_view name, TimePoint now)
+{
+    if (!hasRoom(name, now))
         return false;
-    service.retries.push_back(now);
+    serviceOf(name).retries.push_back(now);
     return true;
 }
 
--- a/retry/window.h
+++ b/retry/window.h
@@ -27,6 +27,9 @@
 
     void onRequest(std::string_view service, TimePoint);
 
+    // True if the service's window has room for one retry.
+    bool hasRoom(std::string_view service, TimePoint);
+
     // Takes one retry if the service's window has room for it.
     bool tryRetry(std::string_view service, TimePoint);
 
--- a/routing/health.cc
+++ b/routing/health.cc
@@ -11,6 +11,14 @@
     // An endpoint that restarts is back after some hundred milliseconds at the earliest.
     constexpr Millis leastAvoided { 250 };
     constexpr Millis mostAvoided { 2000 };
+    // Without requests that may be repeated nothing shows that an endpoint answers again; an
+    // endpoint that has gone is known from the platform by then.
+    constexpr Millis suspectFor { 10'000 };
+    // An endpoint is silent after so many times its usual first byte, within bounds: scheduling and
+    // lost packets delay single answers by some hundred milliseconds.
+    constexpr int silenceFactor = 8;
+    constexpr Millis leastSilence { 300 };
+    constexpr Millis mostSilence { 1500 };
 
 } // namespace detail
 
@@ -26,11 +34,13 @@
     return found == m_records.end() ? nullptr : &found->second;
 }
 
-void EndpointHealth::onAnswer(std::string_view endpoint, Millis firstByte, bool failed, TimePoint)
+void EndpointHealth::onAnswer(std::string_view endpoint, Millis firstByte, bool failed, TimePoint now)
 {
     Record& record = recordOf(endpoint);
     record.unreachable = 0;
     record.avoidUntil = TimePoint();
+    record.suspectUntil = TimePoint();
+    record.lastAnswer = now;
     record.failures += detail::latestWeight * ((failed ? 1.0 : 0.0) - record.failures);
     const auto millis = static_cast<double>(firstByte.count());
     record.firstByteMs = record.firstByteMs > 0 ? record.firstByteMs + detail::latestWeight * (millis - record.firstByteMs) : millis;
@@ -47,10 +57,27 @@
     record.avoidUntil = now + pause;
 }
 
-bool EndpointHealth::isAvoided(std::string_view endpoint, TimePoint now) const
+void EndpointHealth::onSilent(std::string_view endpoint, TimePoint now)
+{
+    onUnreachable(endpoint, now);
+    recordOf(endpoint).suspectUntil = now + detail::suspectFor;
+}
+
+bool EndpointHealth::isAvoided(std::string_view endpoint, bool isRepeatable, TimePoint now) const
+{
+    const Record* record = find(endpoint);
+    return record && now < (isRepeatable ? record->avoidUntil : std::max(record->avoidUntil, record->suspectUntil));
+}
+
+Millis EndpointHealth::silenceLimit(std::string_view endpoint) const
+{
+    return std::clamp(detail::silenceFactor * firstByte(endpoint), detail::leastSilence, detail::mostSilence);
+}
+
+bool EndpointHealth::hasAnsweredSince(std::string_view endpoint, TimePoint time) const
 {
     const Record* record = find(endpoint);
-    return record && now < record->avoidUntil;
+    return record && record->lastAnswer >= time;
 }
 
 double EndpointHealth::failureShare(std::string_view endpoint) const
--- a/routing/health.h
+++ b/routing/health.h
@@ -15,8 +15,17 @@
     // No connection could be made, or one was lost under a request.
     void onUnreachable(std::string_view endpoint, TimePoint);
 
-    // True while the endpoint is best left alone, after it could not be reached.
-    bool isAvoided(std::string_view endpoint, TimePoint) const;
+    // It has answered nothing for so long that it is likely to have stopped.
+    void onSilent(std::string_view endpoint, TimePoint);
+
+    // True while the endpoint is best left alone, after it could not be reached or fell silent. One
+    // that fell silent is tried again with requests that may be repeated first.
+    bool isAvoided(std::string_view endpoint, bool isRepeatable, TimePoint) const;
+
+    // Time without any answer after which an endpoint counts as silent.
+    Millis silenceLimit(std::string_view endpoint) const;
+
+    bool hasAnsweredSince(std::string_view endpoint, TimePoint) const;
 
     // Share of answers that were failures, lately.
     double failureShare(std::string_view endpoint) const;
@@ -33,6 +42,9 @@
         double firstByteMs = 0;
         uint32_t unreachable = 0;
         TimePoint avoidUntil;
+        // For requests that may not be repeated.
+        TimePoint suspectUntil;
+        TimePoint lastAnswer;
     };
 
     Record& recordOf(std::string_view endpoint);
--- a/tests/direct-failure-test.cc
+++ b/tests/direct-failure-test.cc
@@ -253,3 +253,107 @@
     close(ends[0]);
     close(ends[1]);
 }
+
+TEST_CASE("direct: an endpoint that falls silent delays few requests, and is used again when it answers")
+{
+    DirectCluster cluster;
+    REQUIRE(cluster.waitReady());
+    for (int i = 0; i < 10; ++i)
+        CHECK(cluster.call("GET", "/lookup/1", "k0-" + std::to_string(i)).status == 200);
+    cluster.endpoint("p1").signal(SIGSTOP);
+    const TimePoint from = Clock::now();
+    for (int i = 0; i < 20; ++i)
+        CHECK(cluster.call("GET", "/lookup/1", "k1-" + std::to_string(i)).status == 200);
+    CHECK(Clock::now() - from < Millis(3000));
+    // Orders may not be repeated, so they go only where answers come from.
+    for (int i = 0; i < 10; ++i) {
+        const std::string id = "k2-" + std::to_string(i);
+        CHECK(cluster.call("POST", "/once/1", id).status == 200);
+        CHECK(cluster.runsOf(id).size() == 1);
+    }
+    cluster.endpoint("p1").signal(SIGCONT);
+    CHECK(eventually([&] {
+        const int before = cluster.runsByEndpoint()["p1"];
+        cluster.call("GET", "/lookup/1", "k3");
+        return cluster.runsByEndpoint()["p1"] > before;
+    }));
+    CHECK(cluster.metrics().find("orioletrail_retries_total{reason=\"endpoint-silent\"}") != std::string::npos);
+}
+
+TEST_CASE("direct: an order to an endpoint that is silent may have run, and is not sent again")
+{
+    DirectCluster cluster;
+    REQUIRE(cluster.waitReady());
+    cluster.endpoint("p1").signal(SIGSTOP);
+    cluster.endpoint("p2").signal(SIGSTOP);
+    const HttpResult result = cluster.call("POST", "/once/1", "l1", { { "X-Deadline-Ms", "800" } });
+    CHECK(result.status == 504);
+    cluster.endpoint("p1").signal(SIGCONT);
+    cluster.endpoint("p2").signal(SIGCONT);
+    std::this_thread::sleep_for(Millis(500));
+    CHECK(cluster.runsOf("l1").size() <= 1);
+}
+
+TEST_CASE("direct: a request that crashes endpoints is refused by all entries after the third")
+{
+    DirectCluster cluster;
+    cluster.startEntry(1);
+    REQUIRE(cluster.waitReady());
+    REQUIRE(cluster.waitReady(1));
+    const auto runs = [&] {
+        int count = 0;
+        for (const auto& line : cluster.runsOf("m1"))
+            count += line.at("target").as_string() == "/once/crash";
+        return count;
+    };
+    HttpResult last;
+    for (int time = 0; time < 8; ++time) {
+        last = cluster.call("POST", "/once/crash", "m1", {}, time % 2);
+        std::this_thread::sleep_for(Millis(1200));
+        for (const char* name : { "p1", "p2" }) {
+            if (!cluster.endpoint(name).wait(Millis(20)))
+                continue;
+            cluster.startEndpoint(name);
+            cluster.registerEndpoint(name);
+        }
+        // Entries tell each other ten times a second.
+        std::this_thread::sleep_for(Millis(300));
+        // Other callers notice that endpoints are back.
+        CHECK(eventually([&] { return cluster.call("POST", "/once/1", "m2-" + std::to_string(time), {}, time % 2).status == 200; }));
+    }
+    CHECK(runs() == 3);
+    CHECK(last.status == 422);
+    CHECK(last.body.find("\"run\":\"not-run\"") != std::string::npos);
+    // The same path with another body is another request.
+    CHECK(cluster.call("POST", "/once/2", "m3").status == 200);
+}
+
+TEST_CASE("direct: an entry that stood still answers truthfully when it goes on")
+{
+    DirectCluster cluster;
+    REQUIRE(cluster.waitReady());
+    for (const char* name : { "p1", "p2" })
+        cluster.fault(name, "slow", 500);
+    HttpResult order;
+    HttpResult streamed;
+    HttpResult expired;
+    std::thread first([&] { order = cluster.call("POST", "/once/1", "n1"); });
+    std::thread second([&] { streamed = cluster.call("POST", "/stream/1", "n2"); });
+    std::this_thread::sleep_for(Millis(100));
+    cluster.entry().signal(SIGSTOP);
+    std::thread third([&] { expired = cluster.call("POST", "/once/1", "n3", { { "X-Deadline-Ms", "1000" } }); });
+    std::this_thread::sleep_for(Millis(2000));
+    cluster.entry().signal(SIGCONT);
+    first.join();
+    second.join();
+    third.join();
+    CHECK(order.status == 200);
+    CHECK(order.body == "done n1");
+    CHECK(cluster.runsOf("n1").size() == 1);
+    CHECK(streamed.body == wholeStream());
+    CHECK(cluster.runsOf("n3").size() <= 1);
+    if (expired.body.find("\"run\":\"not-run\"") != std::string::npos)
+        CHECK(cluster.runsOf("n3").empty());
+    CHECK(cluster.isReady());
+    CHECK(cluster.call("POST", "/once/1", "n4").status == 200);
+}
