Decide dispatching in a library of its own, model it, and wait for a third of the time left

Cause: the decisions on load stood between network calls in direct/request.cc, so only parts of them could be played without a network.

Traced by counting why answers were late: under overload all of them were late by their first event. All that wait do so for as long as they may, which was until the usual first byte would just be in time, and first bytes vary; and callers who came back went first though they were late already. Change: a request waits for at most 0.3 of the time until it would be late; one that would be late does not wait.

--- a/admission/pace-limit-test.cc
+++ b/admission/pace-limit-test.cc
@@ -65,7 +65,7 @@
         }
         const double answerMs = events * played.gapMs;
         const double worth = answerMs > 8000 ? 0 : played.gapMs <= profile.gapObjectiveMs ? 1
-                                                                                           : 0.5;
+                                                                                          : 0.5;
         played.value = worth * 1000 * played.streams / answerMs;
         return played;
     };
--- a/admission/wait-queue.cc
+++ b/admission/wait-queue.cc
@@ -11,6 +11,9 @@
     constexpr double rateSeconds = 1.0;
     // Bounds the expected wait where nothing is known of the service.
     constexpr double leastRate = 1.0;
+    // Share of the time until a request would be late that it may wait. Under overload all wait for
+    // as long as they may, and first bytes vary by some times their usual time.
+    constexpr double waitShare = 0.3;
     // A caller that is told to come back waits at least for one round trip, and no longer than
     // callers honour.
     constexpr Millis leastRetryAfter { 100 };
@@ -46,8 +49,7 @@
 Millis WaitQueue::longestWait(const WaitRequest& request)
 {
     const Millis inTime = request.untilLate - request.firstByte;
-    // One that has come back and would be late is still of use until its caller gives up.
-    return std::max(Millis(0), request.returned ? std::max(inTime, request.untilGivenUp) : inTime);
+    return std::max(Millis(0), Millis(static_cast<Millis::rep>(detail::waitShare * static_cast<double>(inTime.count()))));
 }
 
 WaitDecision WaitQueue::decide(const WaitRequest& request, TimePoint now) const
--- a/admission/wait-queue.h
+++ b/admission/wait-queue.h
@@ -16,8 +16,6 @@
     int priority = 0;
     // Time until an answer is late.
     Millis untilLate { 0 };
-    // Time that one that is late already may still spend on waiting.
-    Millis untilGivenUp { 0 };
     // Usual time between the sending of a request and the first byte of its answer.
     Millis firstByte { 0 };
     // Places that become free each second at this instance by its part of what the service bears.
@@ -44,7 +42,8 @@
 
     WaitDecision decide(const WaitRequest&, TimePoint) const;
 
-    // How long the request may wait.
+    // How long the request may wait. One that would be late does not wait: its place is worth more
+    // to one that is still in time.
     static Millis longestWait(const WaitRequest&);
 
     // Adds a request that may wait; `wake` is called when its turn comes.
--- a/bench/bench.h
+++ b/bench/bench.h
@@ -1,6 +1,9 @@
-// Measurements. Each prints JSON lines.
+// Measurements. Each prints JSON lines, or a table where it says so.
 #pragma once
 
+#include <cstdint>
+#include <string>
+
 namespace orioletrail::bench {
 
 // Step-time skew and moves of policies for expert maps.
@@ -24,4 +27,15 @@
 // Cost of control by role at several sizes.
 int runCapacity();
 
+struct ExperimentOptions {
+    // File with a scenario of the model, in JSON.
+    std::string scenario;
+    uint32_t seeds = 10;
+    // File for the values over time, as gnuplot reads them; empty for none.
+    std::string plot;
+};
+
+// Plays a scenario with each decision left out in turn, and prints a table.
+int runExperiment(const ExperimentOptions&);
+
 } // namespace orioletrail::bench
--- a/bench/main.cc
+++ b/bench/main.cc
@@ -14,8 +14,13 @@
     CLI::App* routing = app.add_subcommand("routing", "policies for choosing an endpoint");
     CLI::App* overload = app.add_subcommand("overload", "useful work and refusals under overload");
     CLI::App* capacity = app.add_subcommand("capacity", "cost of control by role and size");
-    CLI11_PARSE(app, argc, argv);
     using namespace orioletrail::bench;
+    CLI::App* experiment = app.add_subcommand("experiment", "a scenario of the model, with each decision left out in turn");
+    ExperimentOptions options;
+    experiment->add_option("scenario", options.scenario, "file with the scenario, in JSON")->required()->check(CLI::ExistingFile);
+    experiment->add_option("--seeds", options.seeds, "plays of each policy")->check(CLI::Range(1, 1000))->capture_default_str();
+    experiment->add_option("--plot", options.plot, "file for the values over time, for gnuplot");
+    CLI11_PARSE(app, argc, argv);
     if (*expertMap)
         return runExpertMap();
     if (*path)
@@ -28,5 +33,7 @@
         return runRouting();
     if (*overload)
         return runOverload();
+    if (*experiment)
+        return runExperiment(options);
     return *capacity ? runCapacity() : 1;
 }
--- a/direct/attempt.cc
+++ b/direct/attempt.cc
@@ -11,8 +11,6 @@
     // Endpoints close idle connections; one that was used so lately is hardly being closed.
     constexpr Millis reuseWithin { 4000 };
     constexpr Millis reuseNonIdempotentWithin { 1000 };
-    // Weight of the latest answer in the moving average of how long places are held.
-    constexpr double latestHeld = 0.05;
     // The answer at the deadline travels this much longer than the request's time allows.
     constexpr Millis answerMargin { 5 };
 
@@ -85,7 +83,7 @@
         streams = detail::isSuccess(status) && head.isSigned && !head.encoded
             && findHeader(headers, "Content-Type").starts_with(detail::eventStream);
         if (head.load)
-            loads.onReported(target->record.id, head.load->running + head.load->waiting, firstByte);
+            dispatcher->loads().onReported(target->record.id, head.load->running + head.load->waiting, firstByte);
         co_return;
     };
     hooks.chunk = [&](std::string_view piece) -> Task<> {
@@ -108,7 +106,7 @@
     };
     const HttpResult ended = co_await target->client->stream(std::move(call), std::move(hooks));
     silence->end();
-    loads.onEnded(target->record.id);
+    dispatcher->onEnded(job.service, target->record.id, Clock::now());
     DirectResult result;
     if (streams && ended.ok()) {
         // The whole body has arrived, with whatever follows its last event.
@@ -132,17 +130,13 @@
             co_await responder.respond(*result.answer);
     }
     if (result.outcome == Outcome::Answered) {
-        const double held = std::chrono::duration<double, std::milli>(Clock::now() - sent).count();
-        ServiceState& state = services[job.service];
-        state.heldMs = state.heldMs > 0 ? state.heldMs + detail::latestHeld * (held - state.heldMs) : held;
-        if (streams)
-            state.usualEvents = state.usualEvents > 0 ? state.usualEvents + detail::latestHeld * (job.pieces - state.usualEvents) : job.pieces;
+        dispatcher->onAnswered(job.service, Clock::now() - sent, streams ? job.pieces : 0);
         metrics.observe("orioletrail_answer_seconds", Clock::now() - job.received);
         logEnd(job, answer.status, Reason::None, Outcome::Answered);
     }
     const bool failed = result.reason == Reason::EndpointFailed || result.reason == Reason::SpoiledAnswer;
     if (ended.ok())
-        health.onAnswer(target->record.id, std::chrono::duration_cast<Millis>(firstByte - sent), failed, Clock::now());
+        dispatcher->health().onAnswer(target->record.id, std::chrono::duration_cast<Millis>(firstByte - sent), failed, Clock::now());
     if (result.outcome == Outcome::Answered && poison.size())
         poison.onCompleted(digestOf(request, job));
     if (ended.failure == HttpFailure::Lost && !job.callerGone)
@@ -161,13 +155,13 @@
     if (!service || service->engine)
         return watch;
     const TimePoint sent = Clock::now();
-    watch->timer.expires_after(health.silenceLimit(target->record.id));
+    watch->timer.expires_after(dispatcher->health().silenceLimit(target->record.id));
     watch->timer.async_wait([this, watch, &job, target, sent](boost::system::error_code error) {
         const std::string& endpoint = target->record.id;
-        if (error || watch->over || health.hasAnsweredSince(endpoint, sent))
+        if (error || watch->over || dispatcher->health().hasAnsweredSince(endpoint, sent))
             return;
         const TimePoint now = Clock::now();
-        health.onSilent(endpoint, now);
+        dispatcher->health().onSilent(endpoint, now);
         watch->gaveUp = mayAskAnother(job);
         log(LogLevel::Warning, "endpoint silent", { { "request", job.caller.id }, { "endpoint", endpoint }, { "silentMs", std::to_string(std::chrono::duration_cast<Millis>(now - sent).count()) }, { "asksAnother", watch->gaveUp ? "true" : "false" } });
         if (watch->gaveUp)
@@ -180,9 +174,7 @@
 {
     if (job.route->repeat != RepeatRule::Idempotent || job.accepted + 1 >= job.route->maxAttempts || !retries.hasRoom(job.service, Clock::now()))
         return false;
-    std::vector<std::shared_ptr<Target>> open;
-    const PlaceChoice choice = place(job, open);
-    return choice.failure == PlaceFailure::None && std::find(job.tried.begin(), job.tried.end(), open[choice.index]->record.id) == job.tried.end();
+    return dispatcher->mayAskAnother(job, Clock::now());
 }
 
 std::string DirectEntry::State::digestOf(const HttpRequest& request, const DirectJob& job) const
@@ -235,13 +227,12 @@
         ++job.accepted;
     job.mayHaveRun = job.mayHaveRun || result.outcome == Outcome::MayHaveRun;
     if (!ended.ok() && !job.callerGone && ended.failure != HttpFailure::Timeout)
-        health.onUnreachable(endpoint, now);
+        dispatcher->health().onUnreachable(endpoint, now);
     if (result.reason == Reason::WrongEndpoint)
-        health.onUnreachable(endpoint, now);
+        dispatcher->health().onUnreachable(endpoint, now);
     if (result.outcome != Outcome::Answered)
         log(LogLevel::Info, "attempt failed", { { "request", job.caller.id }, { "endpoint", endpoint }, { "status", std::to_string(ended.status) }, { "reason", std::string(reasonName(result.reason)) }, { "run", std::string(outcomeName(result.outcome)) }, { "reused", ended.reused ? "true" : "false" }, { "failedEndpoint", head.failedEndpoint }, { "lastEvent", job.events.lastId() } });
-    services[job.service].queue.onPlaceFreed(now);
-    wakeWaiting(job.service);
+    dispatcher->wakeWaiting(job.service, now);
 }
 
 } // namespace orioletrail
--- a/direct/direct.cc
+++ b/direct/direct.cc
@@ -17,7 +17,6 @@
 
     constexpr Millis tickInterval { 50 };
     constexpr Millis expiryInterval { 500 };
-    constexpr Millis slownessHold { 1500 };
     // On top of the lag that engines state.
     constexpr Millis reportLagMargin { 100 };
     // Many rounds of status messages, in case some are lost.
@@ -32,8 +31,6 @@
     constexpr Millis balancerNotices { 2200 };
     // Kept between the end of the drain and the end by force.
     constexpr Millis stopMargin { 500 };
-    // Entries that share an endpoint's cold rate if fewer are known: as many as may be starting.
-    constexpr size_t leastInstances = 4;
 
 } // namespace detail
 
@@ -80,12 +77,13 @@
         reason = "the settings name no store, no address for callers or none for readiness";
         return false;
     }
+    dispatcher = std::make_unique<Dispatcher>(platform.zone);
     PoisonSettings poisonSettings;
     poisonSettings.refuseAfter = detail::deathsUntilRefused;
     poisonSettings.remember = detail::deathsRemembered;
     poisonSettings.leastBetween = detail::leastBetweenDeaths;
     poison = PoisonRecords(poisonSettings);
-    retries = RetryWindow({ platform.retryRatio, platform.retrySlack / (2 * detail::leastInstances), platform.retryWindow });
+    retries = RetryWindow({ platform.retryRatio, platform.retrySlack / (2 * static_cast<double>(dispatcher->instanceCount(Clock::now()))), platform.retryWindow });
     store = std::make_unique<StoreClient>(controlIo.get_executor(), StoreClientSettings { storeAddress->first, storeAddress->second, settings.storeTimeout }, metrics);
     keeper = std::make_unique<BeliefKeeper>([this](BeliefSnapshot snapshot) {
         asio::post(traffic, [this, snapshot = std::move(snapshot)] { onSnapshot(snapshot); });
@@ -170,8 +168,8 @@
     http.idleTimeout = limits.idleTimeout;
     callers->setLimits(http);
     updateTargets();
-    for (auto& [service, state] : services)
-        wakeWaiting(service);
+    dispatcher->setBeliefs(beliefs);
+    dispatcher->wakeWaiting(Clock::now());
 }
 
 void DirectEntry::State::updateTargets()
@@ -180,9 +178,6 @@
         if (beliefs.endpoints.contains(item.first))
             return false;
         onEndpointEnded(item.first);
-        health.forget(item.first);
-        loads.forget(item.first);
-        coldLimit.forget(item.first);
         return true;
     });
     for (const auto& [id, record] : beliefs.endpoints) {
@@ -192,7 +187,6 @@
             target->record = record;
             continue;
         }
-        health.forget(id);
         onEndpointEnded(id);
         target = std::make_shared<Target>();
         target->record = record;
@@ -236,25 +230,15 @@
     };
     hooks.sidecars = [this] { return findSidecars(); };
     hooks.profile = [this](const std::string& service) { return expertProfile(service); };
-    hooks.expectedPause = [this](const std::string& service, double unevenness) { return expectedPause(service, unevenness); };
+    hooks.expectedPause = [this](const std::string& service, double unevenness) { return dispatcher->expectedPause(service, unevenness, Clock::now()); };
     hooks.claim = [this] { return claimLead(); };
     hooks.isFirst = [this] { return livePeers.isFirst(platform.instance, Clock::now()); };
     maps = std::make_unique<MapDriver>(traffic.get_executor(), MapDriverSettings {}, std::move(hooks), metrics);
 }
 
-double DirectEntry::State::expectedPause(const std::string& name, double unevenness)
-{
-    const EngineProfile* profile = expertProfile(name);
-    const PaceProfile& pace = services[name].profile;
-    if (!profile || pace.gapObjectiveMs <= 0)
-        return 1;
-    const double perStream = pace.perStreamMs * (1 - profile->expertShare + profile->expertShare * unevenness);
-    return pace.stepsPerPass * (pace.stepMs * pace.slowest + perStream * meanStreams(name)) / pace.gapObjectiveMs;
-}
-
 void DirectEntry::State::takeSlowness(std::map<std::string, double, std::less<>> heard)
 {
-    slownessHeard = Clock::now();
+    dispatcher->setSlowness(heard, Clock::now());
     if (heard == slowness)
         return;
     slowness = std::move(heard);
@@ -264,12 +248,6 @@
     log(LogLevel::Info, "slow endpoints", { { "endpoints", endpoints } });
 }
 
-double DirectEntry::State::slownessOf(std::string_view endpoint) const
-{
-    const auto found = slowness.find(endpoint);
-    return found == slowness.end() || Clock::now() - slownessHeard > detail::slownessHold ? 1 : found->second;
-}
-
 Task<std::optional<uint64_t>> DirectEntry::State::claimLead()
 {
     co_return co_await asio::co_spawn(controlIo, registry->takeLease("expert-maps", platform.instance), asio::use_awaitable);
@@ -280,7 +258,7 @@
     PeerStatus status;
     status.sender = handover->own();
     status.address = platform.address + ':' + std::to_string(platform.firstPeerPort);
-    status.inFlight = loads.ownCounts();
+    status.inFlight = dispatcher->loads().ownCounts();
     status.deaths = poison.changedSince(Clock::now() - detail::deathsToldFor);
     status.leading = maps->isLeading();
     status.stopping = stoppingSince.has_value();
@@ -303,14 +281,8 @@
     const std::optional<MapLead> taken = status.offer ? handover->take(*status.offer) : std::nullopt;
     if (taken)
         maps->takeOver(*taken);
-    loads.onPeerCounts(status.sender.instance, std::move(status.inFlight), Clock::now());
-    for (auto& [service, state] : services)
-        wakeWaiting(service);
-}
-
-size_t DirectEntry::State::instanceCount() const
-{
-    return std::max(detail::leastInstances, loads.livePeers(Clock::now()) + 1);
+    dispatcher->loads().onPeerCounts(status.sender.instance, std::move(status.inFlight), Clock::now());
+    dispatcher->wakeWaiting(Clock::now());
 }
 
 Task<> DirectEntry::State::serveReadiness(const HttpRequest& request, Responder& responder)
@@ -338,8 +310,7 @@
             expired = now;
             keeper->tell(TickNews {});
         }
-        for (auto& [service, state] : services)
-            wakeWaiting(service);
+        dispatcher->wakeWaiting(now);
     }
 }
 
--- a/direct/map-driver.cc
+++ b/direct/map-driver.cc
@@ -323,7 +323,7 @@
             const auto access = group->ranks.find(rank);
             const bool isSilent = access != group->ranks.end() && now - access->second.heard > detail::silentFrom;
             const double factor = isSilent ? silentSlowness : rank < group->slowness.size() ? group->slowness[rank]
-                                                                                                    : 1;
+                                                                                            : 1;
             if (factor > detail::slowFrom)
                 slow.emplace(engine.name, factor);
         }
--- a/direct/map-driver.h
+++ b/direct/map-driver.h
@@ -4,6 +4,7 @@
 
 #include "direct/handover.h"
 #include "directory/beliefs.h"
+#include "dispatch/dispatcher.h"
 #include "expertmap/forecast.h"
 #include "expertmap/proposal.h"
 #include "platform/engine.h"
@@ -11,10 +12,6 @@
 
 namespace orioletrail {
 
-// Told in place of a factor for an engine that does not report: it gets requests only if there is
-// no other.
-constexpr double silentSlowness = 100;
-
 // A way to an engine.
 struct EngineAccess {
     // Endpoint, or instance of its sidecar.
--- a/direct/state.h
+++ b/direct/state.h
@@ -1,9 +1,6 @@
 // State of a running direct entry. Everything here lives on the traffic thread unless it says otherwise.
 #pragma once
 
-#include "admission/cold-limit.h"
-#include "admission/pace-limit.h"
-#include "admission/wait-queue.h"
 #include "direct/direct.h"
 #include "direct/keeper.h"
 #include "direct/live-peers.h"
@@ -11,15 +8,13 @@
 #include "direct/peers.h"
 #include "direct/registry.h"
 #include "direct/watcher.h"
+#include "dispatch/dispatcher.h"
 #include "gateway/events.h"
 #include "platform/dialect.h"
 #include "platform/settings.h"
 #include "retry/crash-evidence.h"
 #include "retry/poison.h"
 #include "retry/window.h"
-#include "routing/health.h"
-#include "routing/load.h"
-#include "routing/placer.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -54,23 +49,17 @@
 };
 
 // A caller's request on its way.
-struct DirectJob {
+struct DirectJob : DispatchRequest {
     CallerRequest caller;
     std::shared_ptr<const Catalog> catalog;
-    const Route* route = nullptr;
     std::string account;
-    int priority = 0;
-    std::string service;
-    TimePoint received = Clock::now();
     // The end of the caller's patience or of the route's timeout, whichever is sooner.
     TimePoint deadline;
     bool callerGone = false;
     // Some attempt may have run, whatever became of later ones.
     bool mayHaveRun = false;
-    // Attempts that were sent, and those of them that the endpoint did not reject.
-    uint32_t attempts = 0;
+    // Attempts that the endpoint did not reject.
     uint32_t accepted = 0;
-    std::vector<std::string> tried;
     // The head of a streamed answer has been passed on.
     bool begun = false;
     EventSplitter events;
@@ -85,19 +74,6 @@
     Millis waited { 0 };
 };
 
-// What is known of one service beside its endpoints.
-struct ServiceState {
-    WaitQueue queue;
-    PaceLimit pace;
-    PaceProfile profile;
-    // Usual time from the sending of a streamed request to its first event.
-    double firstEventMs = 0;
-    // Usual time that an answer holds its place.
-    double heldMs = 0;
-    // Usual number of events of a streamed answer that arrive at separate times.
-    double usualEvents = 0;
-};
-
 // How an attempt ended. An answer of the endpoint's that is to be passed on is kept in `answer`.
 struct DirectResult {
     Outcome outcome = Outcome::MayHaveRun;
@@ -127,15 +103,7 @@
     // Gives the job a target with a reserved place, or a refusal.
     Task<std::optional<DirectRefusal>> findPlace(DirectJob&);
     bool reserve(DirectJob&);
-    PlaceChoice place(const DirectJob&, std::vector<std::shared_ptr<Target>>& targets);
-    // True if the service's engines hold as many streams as keep their pace.
-    bool isPaceReached(const std::string& service, const std::vector<std::shared_ptr<Target>>& open);
-    PaceProfile paceProfile(const Route&, const ServiceProfile&) const;
-    double meanStreams(const std::string& service) const;
     void onEvents(DirectJob&, TimePoint sent);
-    WaitRequest waitRequest(const DirectJob&);
-    // Places of the service that become free each second for this instance's part.
-    double shareOfPlaces(const std::string& service);
     bool mayRetry(DirectJob&, const DirectResult&);
     // Ends the attempt if the endpoint stays silent and another one may be asked.
     std::shared_ptr<SilenceWatch> watchSilence(DirectJob&, const std::shared_ptr<Target>&);
@@ -151,20 +119,14 @@
     Task<> refuse(Responder&, DirectJob&, const DirectRefusal&);
     HttpAnswer refusalAnswer(std::string_view requestId, const DirectRefusal&) const;
     void logEnd(const DirectJob&, unsigned status, Reason, Outcome) const;
-    void wakeWaiting(const std::string& service);
-    bool hasPlace(const std::string& service);
 
     // Beliefs and peers.
     void onSnapshot(BeliefSnapshot);
     void updateTargets();
     PeerStatus ownStatus();
     void onPeer(PeerStatus);
-    size_t instanceCount() const;
     Task<> joinPeers();
     void startMaps();
-    // The pause between events that a map of this unevenness leads to, against its objective.
-    double expectedPause(const std::string& service, double unevenness);
-    double slownessOf(std::string_view endpoint) const;
     void takeSlowness(std::map<std::string, double, std::less<>>);
     // The engine parameters of a service with expert maps, or null.
     const EngineProfile* expertProfile(const std::string& service) const;
@@ -198,17 +160,13 @@
     std::unique_ptr<StoreWatcher> watcher;
     std::unique_ptr<PeerExchange> peers;
     std::unique_ptr<MapDriver> maps;
-    // Engines that take longer than usual, as the leader of the expert maps says, and when it said so.
+    // Engines that take longer than usual, as the leader of the expert maps says.
     std::map<std::string, double, std::less<>> slowness;
-    TimePoint slownessHeard;
     std::unique_ptr<LeadHandover> handover;
     LivePeers livePeers;
     BeliefSnapshot beliefs;
     std::map<std::string, std::shared_ptr<Target>, std::less<>> targets;
-    std::map<std::string, ServiceState, std::less<>> services;
-    LoadTable loads;
-    EndpointHealth health;
-    ColdLimit coldLimit;
+    std::unique_ptr<Dispatcher> dispatcher;
     PoisonRecords poison;
     CrashEvidence crashes;
     RetryWindow retries { RetryWindowSettings {} };
--- /dev/null
+++ b/model/model-test.cc
@@ -0,0 +1,121 @@
+#include "model/group.h"
+#include "model/simulation.h"
+
+#include <doctest/doctest.h>
+
+using namespace orioletrail;
+using namespace orioletrail::model;
+
+namespace {
+
+Policy policyOf(std::string_view name)
+{
+    for (const Policy& policy : allPolicies())
+        if (policy.name == name)
+            return policy;
+    return {};
+}
+
+double meanValue(const Scenario& scenario, std::string_view policy)
+{
+    constexpr uint64_t seeds = 5;
+    double sum = 0;
+    for (uint64_t seed = 1; seed <= seeds; ++seed)
+        sum += play(scenario, policyOf(policy), seed).whole.value();
+    return sum / seeds;
+}
+
+} // namespace
+
+TEST_CASE("a pass lasts as long as its slowest rank, and prompts are read in pieces")
+{
+    EngineModel engine;
+    engine.ranks = 2;
+    engine.slots = 1;
+    engine.unevenness = { { 0, 1 }, { 10, 2 } };
+    engine.slow = { { 20, 30, 1, 3 } };
+    uint32_t events = 0;
+    uint32_t finished = 0;
+    EngineGroup group(engine, { [&](uint64_t) { ++events; }, [&](uint64_t) { ++finished; } });
+    CHECK(group.isIdle());
+    // Reading takes two passes: 4 steps of 512 tokens, then the rest.
+    group.add(1, 0, 3000, 2);
+    // Another waits for the only slot.
+    group.add(2, 0, 10, 1);
+    group.beginPass(0);
+    group.endPass();
+    CHECK(events == 0);
+    const double even = group.beginPass(0);
+    group.endPass();
+    CHECK(events == 1);
+    group.beginPass(0);
+    group.endPass();
+    CHECK(finished == 1);
+    group.add(3, 1, 0, 10);
+    const double both = group.beginPass(0);
+    group.endPass();
+    CHECK(finished == 2);
+    // Nothing is read any more: one stream, on rank 1.
+    const double calm = group.beginPass(0);
+    CHECK(calm == doctest::Approx(4 * (4.55 + 0.905 * 0.15) + 4 * 0.905 * 0.85 / 2));
+    CHECK(group.beginPass(10) == doctest::Approx(calm + 4 * 0.905 * 0.85 / 2));
+    CHECK(group.beginPass(20) == doctest::Approx(3 * 4 * (4.55 + 0.905 * 0.15) + 4 * 0.905 * 0.85));
+    CHECK(even > calm);
+    CHECK(both > calm);
+    group.remove(3);
+    CHECK(group.isIdle());
+}
+
+TEST_CASE("a scenario is read from JSON, and bad ones are told")
+{
+    std::string reason;
+    const auto scenario = parseScenario(R"({"name":"n","seconds":5,"engine":{"ranks":3,"slow":[[1,2,0,4]],"unevenness":[[0,1],[3,2]]},"callers":{"perSecond":[[0,7]]}})", reason);
+    REQUIRE(scenario);
+    CHECK(scenario->engine.ranks == 3);
+    CHECK(scenario->engine.slow.size() == 1);
+    CHECK(valueAt(scenario->engine.unevenness, 3.5) == 2);
+    CHECK(valueAt(scenario->callers.perSecond, 0) == 7);
+    for (const char* bad : { "", "[]", R"({"second":5})", R"({"engine":{"ranks":-1}})", R"({"engine":{"ranks":0}})", R"({"engine":{"slow":[[1,2,12,4]]}})",
+             R"({"callers":{"perSecond":[[1]]}})", R"({"callers":7})" }) {
+        CAPTURE(bad);
+        reason.clear();
+        CHECK_FALSE(parseScenario(bad, reason));
+        CHECK_FALSE(reason.empty());
+    }
+}
+
+TEST_CASE("a calm load is served in time, all callers end, and a seed plays the same again")
+{
+    Scenario scenario;
+    scenario.callers.perSecond = { { 0, 30 } };
+    const PlayResult result = play(scenario, policyOf("product"), 7);
+    const Tally& whole = result.whole;
+    CHECK(whole.asked > 700);
+    CHECK(whole.asked == whole.inTime + whole.late + whole.refused + whole.failed);
+    CHECK(whole.value() > 0.98);
+    CHECK(result.firstEventQuantile(0.5) < 200);
+    const PlayResult again = play(scenario, policyOf("product"), 7);
+    CHECK(again.firstEventMs == result.firstEventMs);
+    CHECK(again.whole.inTime == whole.inTime);
+}
+
+TEST_CASE("under more load than a group bears callers get more with each decision than without it")
+{
+    Scenario scenario;
+    scenario.callers.perSecond = { { 0, 45 }, { 8, 110 }, { 20, 45 } };
+    scenario.engine.unevenness = { { 0, 1.4 } };
+    const double product = meanValue(scenario, "product");
+    CHECK(product >= meanValue(scenario, "without waiting"));
+    CHECK(product >= meanValue(scenario, "without peers' counts"));
+    scenario.engine.unevenness = { { 0, 3 } };
+    scenario.callers.perSecond = { { 0, 70 } };
+    CHECK(meanValue(scenario, "product") > meanValue(scenario, "without pace limit"));
+}
+
+TEST_CASE("with a slow engine callers get more if the decisions know of it")
+{
+    Scenario scenario;
+    scenario.callers.perSecond = { { 0, 50 } };
+    scenario.engine.slow = { { 8, 20, 3, 5 } };
+    CHECK(meanValue(scenario, "product") > meanValue(scenario, "without slowness"));
+}
