--- a/bench/bench.h
+++ b/bench/bench.h
@@ -27,6 +27,9 @@
 // Cost of control by role at several sizes.
 int runCapacity();
 
+// Time and result of planning changes of expert maps at several sizes, as a table.
+int runPlan();
+
 struct ExperimentOptions {
     // File with a scenario of the model, in JSON.
     std::string scenario;
--- a/bench/main.cc
+++ b/bench/main.cc
@@ -14,6 +14,7 @@
     CLI::App* routing = app.add_subcommand("routing", "policies for choosing an endpoint");
     CLI::App* overload = app.add_subcommand("overload", "useful work and refusals under overload");
     CLI::App* capacity = app.add_subcommand("capacity", "cost of control by role and size");
+    CLI::App* plan = app.add_subcommand("plan", "planning of expert maps after shifts of popularity");
     using namespace orioletrail::bench;
     CLI::App* experiment = app.add_subcommand("experiment", "a scenario of the model, with each decision left out in turn");
     ExperimentOptions options;
@@ -33,6 +34,8 @@
         return runRouting();
     if (*overload)
         return runOverload();
+    if (*plan)
+        return runPlan();
     if (*experiment)
         return runExperiment(options);
     return *capacity ? runCapacity() : 1;
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,5 +5,6 @@
 scripts/build.sh
 scripts/lint.sh
 scripts/check-names.sh
+scripts/check-clock.sh
 ctest --test-dir build --output-on-failure -j 4
 scripts/check-faults.sh
