--- a/model/simulation.cc
+++ b/model/simulation.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <queue>
 #include <random>
 
 namespace orioletrail::model {
@@ -41,25 +40,15 @@
             after(Millis(0), [this] { tellStatus(); });
             scheduleArrival();
             while (!m_events.empty()) {
-                // The queue gives only const access to its first element, which is about to go.
-                Event event = std::move(const_cast<Event&>(m_events.top()));
-                m_events.pop();
-                m_now = event.at;
-                event.run();
+                const auto next = m_events.extract(m_events.begin());
+                m_now = next.key().first;
+                next.mapped()();
             }
             std::sort(m_result.firstEventMs.begin(), m_result.firstEventMs.end());
             return std::move(m_result);
         }
 
     private:
-        struct Event {
-            TimePoint at;
-            uint64_t number = 0;
-            std::function<void()> run;
-
-            bool operator<(const Event& other) const { return at != other.at ? at > other.at : number > other.number; }
-        };
-
         // One caller with all its attempts.
         struct Caller {
             DispatchRequest request;
@@ -86,7 +75,7 @@
 
         void after(Clock::duration delay, std::function<void()> run)
         {
-            m_events.push({ m_now + delay, m_nextEvent++, std::move(run) });
+            m_events.emplace(std::pair(m_now + delay, m_nextEvent++), std::move(run));
         }
 
         static Clock::duration millis(double value)
@@ -354,7 +343,8 @@
         std::mt19937_64 m_random;
         EngineGroup m_group;
         TimePoint m_now = start;
-        std::priority_queue<Event> m_events;
+        // By time, and in the order in which they were made.
+        std::map<std::pair<TimePoint, uint64_t>, std::function<void()>> m_events;
         uint64_t m_nextEvent = 0;
         uint64_t m_nextCaller = 0;
         bool m_passUnderWay = false;
