Log each decision on a retry and count arrivals beyond the first

Each decision is now a log line with the limit and what was spent, the share is logged at the start, and orioletrail_repeat_arrivals_total counts what reached an endpoint beyond the first arrival of its request. No decision changes.

--- a/direct/attempt.cc
+++ b/direct/attempt.cc
@@ -226,6 +226,9 @@
 {
     const std::string& endpoint = job.tried.back();
     const TimePoint now = Clock::now();
+    if (callResult.failure != HttpFailure::Connect && job.sentAttempts++)
+        metrics.count("orioletrail_repeat_arrivals_total", "service=\"" + job.service + "\",reason=\"" + std::string(reasonName(job.lastReason)) + '"');
+    job.lastReason = result.reason;
     if (result.outcome != Outcome::NotRun)
         ++job.acceptedAttempts;
     job.mayHaveRun = job.mayHaveRun || result.outcome == Outcome::MayHaveRun;
--- a/direct/direct.cc
+++ b/direct/direct.cc
@@ -86,7 +86,10 @@
     poisonSettings.retention = detail::deathRetention;
     poisonSettings.deathMergeWindow = detail::deathMergeWindow;
     poison = PoisonRecords(poisonSettings);
-    retries = RetryWindow({ platform.retryRatio, platform.retrySlack / (2 * static_cast<double>(dispatcher->instanceCount(Clock::now()))), platform.retryWindow });
+    const size_t instances = dispatcher->instanceCount(Clock::now());
+    const double slackShare = platform.retrySlack / (2 * static_cast<double>(instances));
+    retries = RetryWindow({ platform.retryRatio, slackShare, platform.retryWindow });
+    log(LogLevel::Info, "retry slack shared", { { "instances", std::to_string(instances) }, { "share", std::to_string(slackShare) }, { "slack", std::to_string(platform.retrySlack) } });
     store = std::make_unique<StoreClient>(controlIo.get_executor(), StoreClientSettings { storeAddress->first, storeAddress->second, settings.storeTimeout }, metrics);
     keeper = std::make_unique<DirectoryKeeper>([this](DirectorySnapshot updated) {
         asio::post(traffic, [this, updated = std::move(updated)] { onSnapshot(updated); });
--- a/direct/request.cc
+++ b/direct/request.cc
@@ -179,10 +179,14 @@
     // A failed connect puts no load on the endpoints, so its retry is not taken from the budget.
     if (result.reason == Reason::Unreachable && result.outcome == Outcome::NotRun)
         return true;
-    if (retries.tryRetry(job.service, Clock::now()))
-        return true;
-    metrics.count("orioletrail_retries_denied_total");
-    return false;
+    const TimePoint now = Clock::now();
+    const bool isGranted = retries.tryRetry(job.service, now);
+    if (!isGranted)
+        metrics.count("orioletrail_retries_denied_total");
+    log(LogLevel::Info, isGranted ? "retry granted" : "retry denied",
+        { { "request", job.caller.id }, { "service", job.service }, { "reason", std::string(reasonName(result.reason)) }, { "attempts", std::to_string(job.attempts) },
+            { "limit", std::to_string(retries.limit(job.service, now)) }, { "spent", std::to_string(retries.spent(job.service, now)) } });
+    return isGranted;
 }
 
 Task<> DirectEntry::State::finishFailed(Responder& responder, DirectJob& job, const DirectAttemptResult& result)
--- a/direct/state.h
+++ b/direct/state.h
@@ -60,6 +60,10 @@
     bool mayHaveRun = false;
     // Attempts that the endpoint did not reject.
     uint32_t acceptedAttempts = 0;
+    // Attempts that were sent to an endpoint, which is all but those whose connection failed.
+    uint32_t sentAttempts = 0;
+    // Why the last attempt failed.
+    Reason lastReason = Reason::None;
     // The head of a streamed answer has been sent to the caller.
     bool streamBegun = false;
     EventSplitter events;
--- a/retry/window.cc
+++ b/retry/window.cc
@@ -10,11 +10,22 @@
 }
 
 bool RetryWindow::hasRoom(std::string_view name, TimePoint now)
+{
+    return static_cast<double>(spent(name, now) + 1) <= limit(name, now);
+}
+
+double RetryWindow::limit(std::string_view name, TimePoint now)
+{
+    Service& service = serviceOf(name);
+    dropExpired(service, now);
+    return m_settings.ratio * static_cast<double>(service.requests.size()) + m_settings.slack;
+}
+
+size_t RetryWindow::spent(std::string_view name, TimePoint now)
 {
     Service& service = serviceOf(name);
     dropExpired(service, now);
-    const double allowed = m_settings.ratio * static_cast<double>(service.requests.size()) + m_settings.slack;
-    return static_cast<double>(service.retries.size() + 1) <= allowed;
+    return service.retries.size();
 }
 
 bool RetryWindow::tryRetry(std::string_view name, TimePoint now)
--- a/retry/window.h
+++ b/retry/window.h
@@ -35,6 +35,11 @@
     // Counts one retry and returns true if it is allowed, otherwise returns false.
     bool tryRetry(std::string_view service, TimePoint);
 
+    // Number of retries allowed in the window that ends now.
+    double limit(std::string_view service, TimePoint);
+    // Number of retries counted in the window that ends now.
+    size_t spent(std::string_view service, TimePoint);
+
 private:
     struct Service {
         std::deque<TimePoint> requests;
