Earn retries with an entry's own requests, and save few

Cause: each process took a part of the shared slack that it worked out by itself, from what it knew when it started, and kept what it had spent in memory that ends with it. 16 entries took 16 of 128 each, since nobody is known at the start; entries that restarted within the window spent a whole budget again (about 830 retries before the loss of power and 517 after it). Each entry also counted in windows of its own, so entries whose callers had just come or left could add up to more than the ratio of all requests. Ruled out: arrivals that are not charged (1133 retries were granted, 1099 arrived).

Now a request adds 0.15 to its entry's balance, and the balance is limited to 0.05 for each request of the last window and a share of the slack. In any window all entries together grant at most what their balances hold when it begins and what its requests add, so the ratio holds without coordination, whoever starts, stops or hears whom. Shares divide half of the slack by all entries that are registered or were ever heard; a process of an instance that was registered before gets its share a window after its start. A retry is charged once an attempt has reached an endpoint, and returned if not sent.

The two tests failed before (180 > 138, 156 > 114) and pass.

The data path through sidecars has the same class of fault: its balances started full, 20 for an account and 100 in all, at each start of an entry. It takes from the same budget now, by service and by account, with two retries for each start. Its retries after "not run" stay free: there a sidecar has rejected the request, or could not connect, before an endpoint got it. The test with four starts and 24 requests: 104 arrivals with the old 20 for each start, where 36.8 are allowed.

--- a/direct/attempt.cc
+++ b/direct/attempt.cc
@@ -226,7 +226,11 @@
 {
     const std::string& endpoint = job.tried.back();
     const TimePoint now = Clock::now();
-    if (callResult.failure != HttpFailure::Connect && job.sentAttempts++)
+    const bool wasSent = callResult.failure != HttpFailure::Connect;
+    if (!wasSent && job.isRetryCharged)
+        retries.refund(job.service, now);
+    job.isRetryCharged = false;
+    if (wasSent && job.sentAttempts++)
         metrics.count("orioletrail_repeat_arrivals_total", "service=\"" + job.service + "\",reason=\"" + std::string(reasonName(job.lastReason)) + '"');
     job.lastReason = result.reason;
     if (result.outcome != Outcome::NotRun)
--- a/direct/direct.cc
+++ b/direct/direct.cc
@@ -31,6 +31,7 @@
     // The load balancer in front checks readiness once per second and stops sending requests after two
     // failed checks.
     constexpr Millis balancerReactionTime { 2200 };
+    constexpr Millis registryRetryDelay { 400 };
     // Time kept between the end of the drain and the end of the grace period, when the platform kills
     // the process.
     constexpr Millis stopMargin { 500 };
@@ -86,10 +87,9 @@
     poisonSettings.retention = detail::deathRetention;
     poisonSettings.deathMergeWindow = detail::deathMergeWindow;
     poison = PoisonRecords(poisonSettings);
-    const size_t instances = dispatcher->instanceCount(Clock::now());
-    const double slackShare = platform.retrySlack / (2 * static_cast<double>(instances));
-    retries = RetryWindow({ platform.retryRatio, slackShare, platform.retryWindow });
-    log(LogLevel::Info, "retry slack shared", { { "instances", std::to_string(instances) }, { "share", std::to_string(slackShare) }, { "slack", std::to_string(platform.retrySlack) } });
+    retries = RetryBudget({ platform.retryRatio, platform.retryWindow });
+    slackShare = SlackShare({ platform.retrySlack, platform.retryWindow }, Clock::now());
+    slackShare.onInstance(platform.instance);
     store = std::make_unique<StoreClient>(controlIo.get_executor(), StoreClientSettings { storeAddress->first, storeAddress->second, settings.storeTimeout }, metrics);
     keeper = std::make_unique<DirectoryKeeper>([this](DirectorySnapshot updated) {
         asio::post(traffic, [this, updated = std::move(updated)] { onSnapshot(updated); });
@@ -151,18 +151,33 @@
         co_return;
     const std::string address = platform.address + ':' + std::to_string(platform.firstPeerPort);
     RegisteredInstance self { platform.instance, address, {} };
-    co_await registry->add(std::string(entryKind), std::move(self));
-    std::vector<std::string> others;
-    const auto entries = co_await registry->list(std::string(entryKind));
-    for (const RegisteredInstance& entry : entries.value_or(std::vector<RegisteredInstance>()))
-        if (entry.name != platform.instance)
-            others.push_back(entry.address);
-    asio::post(traffic, [this, others] {
-        for (const std::string& other : others)
-            peers->addPeer(other);
+    const bool isNew = co_await registry->add(std::string(entryKind), std::move(self));
+    auto entries = co_await registry->list(std::string(entryKind));
+    while (!entries) {
+        co_await sleepFor(withJitter(detail::registryRetryDelay));
+        entries = co_await registry->list(std::string(entryKind));
+    }
+    asio::post(traffic, [this, isNew, entries = std::move(*entries)] {
+        for (const RegisteredInstance& entry : entries) {
+            slackShare.onInstance(entry.name);
+            peers->addPeer(entry.address);
+        }
+        const TimePoint now = Clock::now();
+        slackShare.onRegistered(isNew, now);
+        updateSlackShare(now);
     });
 }
 
+void DirectEntry::State::updateSlackShare(TimePoint now)
+{
+    const double share = slackShare.share(now);
+    if (share == currentSlackShare)
+        return;
+    currentSlackShare = share;
+    retries.setExtra(share);
+    log(LogLevel::Info, "retry slack shared", { { "instances", std::to_string(slackShare.instanceCount()) }, { "share", std::to_string(share) }, { "slack", std::to_string(platform.retrySlack) } });
+}
+
 void DirectEntry::State::onSnapshot(DirectorySnapshot updated)
 {
     snapshot = std::move(updated);
@@ -278,6 +293,7 @@
 void DirectEntry::State::onPeerStatus(PeerStatus status)
 {
     livePeers.onStatus(status.sender, status.stopping, Clock::now());
+    slackShare.onInstance(status.sender.instance);
     if (status.leading) {
         mapDriver->onLeaderHeard(Clock::now());
         updateSlowness(std::move(status.slowness));
@@ -309,6 +325,7 @@
     while (true) {
         co_await sleepFor(detail::tickInterval);
         const TimePoint now = Clock::now();
+        updateSlackShare(now);
         mapDriver->tick(now);
         if (mapDriver->isLeading())
             updateSlowness(mapDriver->slowEndpoints());
--- a/direct/registry.cc
+++ b/direct/registry.cc
@@ -23,25 +23,30 @@
 
 } // namespace detail
 
-Task<bool> InstanceRegistry::tryAdd(const std::string& kind, const RegisteredInstance& instance)
+Task<std::optional<bool>> InstanceRegistry::tryAdd(const std::string& kind, const RegisteredInstance& instance)
 {
     boost::json::object fields { { "address", instance.address }, { "service", instance.service } };
     boost::json::value content(std::move(fields));
     const StoreReply created = co_await m_store.create(kind, instance.name, content);
+    if (created.status == StoreStatus::Ok)
+        co_return true;
     if (created.status != StoreStatus::Conflict)
-        co_return created.status == StoreStatus::Ok;
+        co_return std::nullopt;
     const StoreReply replaced = co_await m_store.replace(kind, instance.name, std::move(content), created.object.revision);
-    co_return replaced.status == StoreStatus::Ok;
+    co_return replaced.status == StoreStatus::Ok ? std::optional(false) : std::nullopt;
 }
 
-Task<> InstanceRegistry::add(std::string kind, RegisteredInstance instance)
+Task<bool> InstanceRegistry::add(std::string kind, RegisteredInstance instance)
 {
     Millis retryDelay = detail::minRegisterDelay;
-    while (!co_await tryAdd(kind, instance)) {
+    std::optional<bool> isNew = co_await tryAdd(kind, instance);
+    while (!isNew) {
         co_await sleepFor(withJitter(retryDelay));
         retryDelay = std::min(retryDelay * 2, detail::maxRegisterDelay);
+        isNew = co_await tryAdd(kind, instance);
     }
-    log(LogLevel::Info, "instance registered", { { "instance", instance.name }, { "kind", kind }, { "address", instance.address } });
+    log(LogLevel::Info, "instance registered", { { "instance", instance.name }, { "kind", kind }, { "address", instance.address }, { "isNew", *isNew ? "true" : "false" } });
+    co_return *isNew;
 }
 
 Task<std::optional<std::vector<RegisteredInstance>>> InstanceRegistry::list(std::string kind)
--- a/direct/registry.h
+++ b/direct/registry.h
@@ -21,8 +21,9 @@
     {
     }
 
-    // Registers the instance, replacing its earlier registration. Retries until it has succeeded.
-    Task<> add(std::string kind, RegisteredInstance);
+    // Registers the instance, replacing its earlier registration. Retries until it has succeeded. Returns
+    // true if the instance had never been registered before, false if it had or that is not known.
+    Task<bool> add(std::string kind, RegisteredInstance);
 
     // All registered instances of a kind, or nothing if the store does not answer.
     Task<std::optional<std::vector<RegisteredInstance>>> list(std::string kind);
@@ -33,7 +34,8 @@
     Task<std::optional<uint64_t>> acquireLease(std::string lease, std::string instance);
 
 private:
-    Task<bool> tryAdd(const std::string& kind, const RegisteredInstance&);
+    // Returns nothing if the registration failed, otherwise as add().
+    Task<std::optional<bool>> tryAdd(const std::string& kind, const RegisteredInstance&);
 
     StoreClient& m_store;
 };
--- a/direct/request.cc
+++ b/direct/request.cc
@@ -92,6 +92,8 @@
     while (true) {
         const std::optional<DirectRefusal> refusal = co_await reservePlace(job);
         if (refusal) {
+            if (job.isRetryCharged)
+                retries.refund(job.service, Clock::now());
             DirectRefusal response = *refusal;
             if (job.mayHaveRun)
                 response = { 502, refusal->reason, Outcome::MayHaveRun, Millis(0) };
@@ -176,16 +178,15 @@
         return false;
     if (job.acceptedAttempts >= job.route->maxAttempts || job.attempts >= job.route->maxAttempts + maxExtraRejected)
         return false;
-    // A failed connect puts no load on the endpoints, so its retry is not taken from the budget.
-    if (result.reason == Reason::Unreachable && result.outcome == Outcome::NotRun)
+    if (!job.sentAttempts)
         return true;
     const TimePoint now = Clock::now();
-    const bool isGranted = retries.tryRetry(job.service, now);
+    const bool isGranted = job.isRetryCharged = retries.tryRetry(job.service, now);
     if (!isGranted)
         metrics.count("orioletrail_retries_denied_total");
     log(LogLevel::Info, isGranted ? "retry granted" : "retry denied",
         { { "request", job.caller.id }, { "service", job.service }, { "reason", std::string(reasonName(result.reason)) }, { "attempts", std::to_string(job.attempts) },
-            { "limit", std::to_string(retries.limit(job.service, now)) }, { "spent", std::to_string(retries.spent(job.service, now)) } });
+            { "balance", std::to_string(retries.balance(job.service, now)) } });
     return isGranted;
 }
 
--- a/direct/state.h
+++ b/direct/state.h
@@ -12,9 +12,10 @@
 #include "gateway/events.h"
 #include "platform/dialect.h"
 #include "platform/settings.h"
+#include "retry/budget.h"
 #include "retry/crash-evidence.h"
 #include "retry/poison.h"
-#include "retry/window.h"
+#include "retry/slack-share.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -64,6 +65,8 @@
     uint32_t sentAttempts = 0;
     // Why the last attempt failed.
     Reason lastReason = Reason::None;
+    // A retry was taken from the budget for the attempt that is next.
+    bool isRetryCharged = false;
     // The head of a streamed answer has been sent to the caller.
     bool streamBegun = false;
     EventSplitter events;
@@ -119,7 +122,8 @@
     bool tryReservePlace(DirectJob&);
     // Updates the latency statistics when a chunk with whole events has arrived.
     void onEvents(DirectJob&, TimePoint sent);
-    // True if the request may be attempted again. Takes a retry from the budget if one is needed.
+    // True if the request may be attempted again. Takes a retry from the budget if an attempt has reached
+    // an endpoint.
     bool mayRetry(DirectJob&, const DirectAttemptResult&);
     // Starts the timer that cancels the attempt if the endpoint stays silent and another one may be
     // tried.
@@ -148,6 +152,8 @@
     // Registers this entry in the store and adds all registered entries as peers. Runs on the control
     // thread.
     Task<> joinPeers();
+    // Applies a change of this process's share of the retry slack to the retry budget.
+    void updateSlackShare(TimePoint);
     void createMapDriver();
     // Replaces the slowdown factors of the endpoints.
     void updateSlowness(std::map<std::string, double, std::less<>>);
@@ -198,7 +204,10 @@
     std::unique_ptr<Dispatcher> dispatcher;
     PoisonRecords poison;
     CrashEvidence crashes;
-    RetryWindow retries { RetryWindowSettings {} };
+    RetryBudget retries;
+    SlackShare slackShare;
+    // The share of the retry slack that is in use.
+    double currentSlackShare = 0;
     std::mt19937_64 random { std::random_device {}() };
     // Set when a stop signal has arrived.
     std::optional<TimePoint> stoppingSince;
--- a/entry/entry.cc
+++ b/entry/entry.cc
@@ -20,6 +20,9 @@
 
     constexpr Millis tickInterval { 50 };
     constexpr Millis gaugeInterval { 500 };
+    // Retries of a service or an account that need no requests before. Each start of an entry adds them,
+    // so there are only enough for the first failures.
+    constexpr double retriesAfterStart = 2;
     // Most credits to request from one sidecar on top of those held.
     constexpr uint32_t maxCreditDemand = 16;
 
@@ -53,6 +56,8 @@
     : settings(std::move(initialSettings))
     , incarnation(std::random_device {}() | static_cast<uint64_t>(std::random_device {}()) << 32)
 {
+    retryBudget.setExtra(detail::retriesAfterStart);
+    accountRetryBudget.setExtra(detail::retriesAfterStart);
 }
 
 bool Entry::State::start(std::string& reason)
--- a/entry/request.cc
+++ b/entry/request.cc
@@ -247,9 +247,11 @@
     }
     const auto entries = static_cast<uint32_t>(view.config->instances.size());
     const Reason reason = fairShare.admit({ context.account, context.service, context.accountLimit, entries, serviceCapacity(context.service) });
-    if (reason == Reason::None)
-        return std::nullopt;
-    return Refusal { 429, reason, Outcome::NotRun, {} };
+    if (reason != Reason::None)
+        return Refusal { 429, reason, Outcome::NotRun, {} };
+    retryBudget.onRequest(context.service, now);
+    accountRetryBudget.onRequest(context.account, now);
+    return std::nullopt;
 }
 
 Task<> Entry::State::forwardWithRetries(const HttpRequest& request, Responder& responder, RequestContext& context)
@@ -489,14 +491,20 @@
     case Reason::LedgerFull:
         return false;
     default:
-        // Retrying a request that did not run adds no load, so it needs no retry budget.
-        if (result.outcome == Outcome::NotRun || retryBudget.tryRetry(context.account))
+        // A request that did not run was rejected by a sidecar and has not reached an endpoint.
+        if (result.outcome == Outcome::NotRun || takeRetry(context))
             return true;
         metrics.count("orioletrail_retries_denied_total");
         return false;
     }
 }
 
+bool Entry::State::takeRetry(const RequestContext& context)
+{
+    const TimePoint now = Clock::now();
+    return accountRetryBudget.hasRoom(context.account, now) && retryBudget.tryRetry(context.service, now) && accountRetryBudget.tryRetry(context.account, now);
+}
+
 void Entry::State::onAttemptEnded(RequestContext& context, const AttemptResult& result)
 {
     context.historyRecord.attempts.push_back({ context.attemptId, context.triedEndpoints.back(), result.outcome, result.reason,
@@ -505,7 +513,6 @@
     if (result.outcome == Outcome::Answered) {
         context.historyRecord.outcome = Outcome::Answered;
         refusals.onAnswer(detail::currentUnixMinute(), context.service);
-        retryBudget.onSuccess(context.account);
         if (poisonRecords.size())
             poisonRecords.onCompleted(context.contentDigest);
     } else if (result.outcome == Outcome::MayHaveRun && result.reason == Reason::EndpointDied) {
--- a/entry/state.h
+++ b/entry/state.h
@@ -117,7 +117,9 @@
     Task<AttemptResult> bufferAnswer(Responder&, RequestContext&, HttpResponse);
     // Whether to make another attempt. Spends retry budget if the request may have run.
     bool shouldRetry(const RequestContext&, const AttemptResult&);
-    // Updates history, retry budget, refusal counts and poison records.
+    // Takes a retry from the budgets of the service and the account, or returns false if one is empty.
+    bool takeRetry(const RequestContext&);
+    // Updates history, refusal counts and poison records.
     void onAttemptEnded(RequestContext&, const AttemptResult&);
     Task<> sendRefusal(Responder&, RequestContext&, const Refusal&);
     void addToHistory(RequestContext&&);
@@ -188,7 +190,9 @@
     // By endpoint name.
     std::map<std::string, std::shared_ptr<SidecarLink>, std::less<>> links;
     FairShare fairShare;
+    // Limit retries by service and by account.
     RetryBudget retryBudget;
+    RetryBudget accountRetryBudget;
     PoisonRecords poisonRecords;
     // Configuration revisions that the sidecars reported in heartbeats, by endpoint name; 0 if not
     // connected. On the control thread.
--- a/fakes/service.cc
+++ b/fakes/service.cc
@@ -35,7 +35,7 @@
             ++m_inFlight;
             const bool isOrder = request.method == "POST";
             m_server.writeRecord({ { "what", isOrder ? "order" : "lookup" }, { "request", request.header("X-Request-Id") }, { "key", request.header("Idempotency-Key") }, { "body", request.body } });
-            const std::string fault = m_server.consumeFault(isOrder ? "lose slow stall" : "slow stall");
+            const std::string fault = m_server.consumeFault("lose slow stall");
             co_await sleepFor(fault == "stall" ? stallDuration : fault == "slow" ? m_server.faultDelay()
                                                                                  : m_settings.responseTime);
             if (fault == "lose") {
--- a/fakes/service.h
+++ b/fakes/service.h
@@ -1,6 +1,6 @@
 // Stand-in for a plain service: a POST is an order and is answered with its own body, any other request is
 // a lookup. Fault modes:
-// - "lose": runs an order and closes the connection without an answer.
+// - "lose": runs the request and closes the connection without an answer.
 // - "slow": delays answers by delayMs.
 // - "stall": delays answers by ten minutes.
 #pragma once
--- a/tests/budget-failure-test.cc
+++ b/tests/budget-failure-test.cc
@@ -1,3 +1,4 @@
+#include "tests/cluster.h"
 #include "tests/direct-cluster.h"
 
 #include <csignal>
@@ -96,3 +97,25 @@
     CHECK(repeats > 0);
     CHECK(repeats <= allowedRepeats(rounds * entries * requests));
 }
+
+TEST_CASE("budget: an entry before sidecars that is killed and started again does not spend its retries again")
+{
+    constexpr int requests = 6;
+    constexpr int rounds = 4;
+    constexpr double retriesForEachStart = 2;
+    Cluster cluster;
+    REQUIRE(cluster.waitUntilReady());
+    for (const char* name : { "z1-s1", "z2-s1", "z3-s1" })
+        cluster.setFault(name, "lose");
+    for (int round = 0; round < rounds; ++round) {
+        cluster.startEntry(1);
+        REQUIRE(cluster.waitUntilReady());
+        for (int i = 0; i < requests; ++i)
+            cluster.call(cluster.entryAddress(1), "GET", "/services/print/orders/1", "", { { "X-Deadline-Ms", "2000" } });
+    }
+    size_t arrivals = 0;
+    for (const char* name : { "z1-s1", "z2-s1", "z3-s1" })
+        arrivals += cluster.runCount(name);
+    CHECK(arrivals > rounds * requests);
+    CHECK(static_cast<double>(arrivals) <= (1 + retryRatio) * rounds * requests + retriesForEachStart * rounds);
+}
