End a call whose response has no end

An endpoint may send bytes that are no answer without end, in a head or a body. Callers waited until their deadline, and the entry kept what came: eight callers of such endpoints took it to 2 GB. A body was limited by the deadline only, a chunk extension or a trailer by nothing, an event that never ends likewise.

A call now ends with BadResponse, and its connection with a reset: at 16 MB of a body that is kept or dropped, 64 KB of a head, chunk header or trailer, and for an entry at 2 MB of an answer or 256 KB of an event. The attempt's reason is spoiled-answer; it may have run. Streams of whole events stay without a limit of size.

--- a/direct/attempt.cc
+++ b/direct/attempt.cc
@@ -15,6 +15,9 @@
     // Added to the timeout of a call, so that an answer that the endpoint sends at the deadline still
     // arrives.
     constexpr Millis deadlineMargin { 5 };
+    // An answer that is not a stream is kept until it is complete, so that none is passed on in part.
+    constexpr size_t maxAnswerBytes = size_t { 2 } << 20;
+    constexpr size_t maxEventBytes = size_t { 256 } << 10;
 
     bool isSuccess(unsigned status)
     {
@@ -38,6 +41,8 @@
             return Reason::Deadline;
         case HttpFailure::Cancelled:
             return Reason::CallerGone;
+        case HttpFailure::BadResponse:
+            return Reason::SpoiledAnswer;
         case HttpFailure::ConnectionLost:
             break;
         }
@@ -88,14 +93,14 @@
             dispatcher->loads().onReported(target->record.id, head.load->running + head.load->waiting, firstByteAt);
         co_return;
     };
-    hooks.chunk = [&](std::string_view bytes) -> Task<> {
+    hooks.chunk = [&](std::string_view bytes) -> Task<bool> {
         if (!isStream) {
             answer.body += bytes;
-            co_return;
+            co_return answer.body.size() <= detail::maxAnswerBytes;
         }
         const std::string events = job.events.push(bytes);
         if (events.empty() || !isCallerConnected)
-            co_return;
+            co_return job.events.remainder().size() <= detail::maxEventBytes;
         onEvents(job, sent);
         if (!job.streamBegun) {
             job.streamBegun = true;
@@ -105,6 +110,7 @@
         isCallerConnected = co_await responder.chunk(events);
         if (!isCallerConnected)
             job.cancelToken->cancel();
+        co_return job.events.remainder().size() <= detail::maxEventBytes;
     };
     const HttpResult callResult = co_await target->client->stream(std::move(call), std::move(hooks));
     silenceTimer->stop();
--- a/fakes/replica.cc
+++ b/fakes/replica.cc
@@ -40,7 +40,7 @@
         {
             constexpr unsigned misdirected = 421;
             constexpr unsigned unavailable = 503;
-            const std::string fault = m_server.consumeFault("refuse misdirect lose cut fail slow extra");
+            const std::string fault = m_server.consumeFault("refuse misdirect lose cut endless fail slow extra");
             if (fault == "misdirect" || request.header("X-Expect-Replica") != name()) {
                 co_await reject(request, responder, misdirected);
                 co_return;
@@ -58,6 +58,8 @@
                 co_await sleepFor(m_server.faultDelay());
             if (fault == "lose")
                 responder.abort();
+            else if (fault == "endless")
+                co_await sendWithoutEnd(request, responder);
             else if (request.target.starts_with("/stream/"))
                 co_await streamEvents(request, responder, fault == "cut");
             else
@@ -65,6 +67,16 @@
             --m_inFlight;
         }
 
+        Task<> sendWithoutEnd(const HttpRequest& request, Responder& responder)
+        {
+            HeaderList headers = answerHeaders(request);
+            if (request.target.starts_with("/stream/"))
+                headers.emplace_back("Content-Type", "text/event-stream");
+            co_await responder.begin(200, headers);
+            const std::string block(65'536, 'x');
+            while (co_await responder.chunk(block)) { }
+        }
+
         Task<> respond(const HttpRequest& request, Responder& responder, const std::string& fault)
         {
             HttpResponse answer { fault == "fail" ? 500U : 200U, answerHeaders(request), "done " + std::string(request.header("X-Request-Id")) };
--- a/fakes/replica.h
+++ b/fakes/replica.h
@@ -9,6 +9,7 @@
 // - "cut": closes the connection within an event of a stream.
 // - "fail": answers 500.
 // - "slow": delays the answer by delayMs.
+// - "endless": sends a body, or for a stream an event, that has no end.
 // - "extra": sends a second answer after the first.
 #pragma once
 
--- a/gateway/client-test.cc
+++ b/gateway/client-test.cc
@@ -16,6 +16,39 @@
 
 namespace {
 
+// A test server that answers a request with `begin` and then sends `repeated` until the client closes.
+class EndlessServer {
+public:
+    EndlessServer(asio::io_context& context, std::string begin, std::string repeated)
+        : m_acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+        , m_begin(std::move(begin))
+        , m_repeated(std::move(repeated))
+    {
+        asio::co_spawn(context, serve(), asio::detached);
+    }
+
+    uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+    size_t sentBytes() const { return m_sentBytes; }
+
+private:
+    Task<> serve()
+    {
+        tcp::socket socket = co_await m_acceptor.async_accept(asio::use_awaitable);
+        m_acceptor.close();
+        std::array<char, 4096> buffer {};
+        co_await socket.async_read_some(asio::buffer(buffer), asio::use_awaitable);
+        co_await asio::async_write(socket, asio::buffer(m_begin), asio::use_awaitable);
+        error_code error;
+        while (!error)
+            m_sentBytes += co_await asio::async_write(socket, asio::buffer(m_repeated), asio::redirect_error(asio::use_awaitable, error));
+    }
+
+    tcp::acceptor m_acceptor;
+    std::string m_begin;
+    std::string m_repeated;
+    size_t m_sentBytes = 0;
+};
+
 // A test server that sends the given raw responses in order, one per read from any connection, and
 // records the error with which the last connection ended.
 class TestServer {
@@ -168,3 +201,47 @@
     CHECK(results[0].body == "body");
     CHECK(results[1].failure == HttpFailure::ConnectionLost);
 }
+
+TEST_CASE("bytes without end in a head or a body end the call before they fill the memory")
+{
+    // Socket buffers hold some megabytes beyond what the client has read.
+    constexpr size_t maxSentBytes = size_t { 64 } << 20;
+    const std::string block(65'536, 'x');
+    std::string begin = "HTTP/1.1 200 OK\r\n";
+    std::string repeated = block;
+    SUBCASE("no answer at all") { begin = "xx"; }
+    SUBCASE("a header field") { begin += "X-Field: "; }
+    SUBCASE("header fields") { repeated = "X-Field: value\r\n"; }
+    SUBCASE("interim responses")
+    {
+        begin.clear();
+        repeated = "HTTP/1.1 102 Processing\r\n\r\n";
+    }
+    SUBCASE("a body without a length") { begin += "\r\n"; }
+    SUBCASE("a body of any length") { begin += "Content-Length: 1000000000000\r\n\r\n"; }
+    SUBCASE("chunks")
+    {
+        begin += "Transfer-Encoding: chunked\r\n\r\n";
+        repeated = "10000\r\n" + block + "\r\n";
+    }
+    SUBCASE("a chunk extension") { begin += "Transfer-Encoding: chunked\r\n\r\n5;name="; }
+    SUBCASE("trailer fields")
+    {
+        begin += "Transfer-Encoding: chunked\r\n\r\n0\r\n";
+        repeated = "X-Field: value\r\n";
+    }
+    asio::io_context context;
+    EndlessServer server(context, begin, repeated);
+    HttpClient client(context.get_executor(), "127.0.0.1", server.port());
+    HttpResult result;
+    auto run = [&]() -> Task<> {
+        HttpCall call;
+        call.request = { "GET", "/", {}, {} };
+        call.timeout = Millis(5000);
+        result = co_await client.call(std::move(call));
+    };
+    asio::co_spawn(context, run(), asio::detached);
+    context.run_for(std::chrono::seconds(8));
+    CHECK(result.failure == HttpFailure::BadResponse);
+    CHECK(server.sentBytes() < maxSentBytes);
+}
--- a/gateway/client.cc
+++ b/gateway/client.cc
@@ -28,6 +28,8 @@
     // dropped.
     constexpr int maxSkippedResponses = 4;
     constexpr size_t readBufferBytes = 16 * 1024;
+    // Limits what one element of a response may take, such as its head, a chunk header or the trailer.
+    constexpr size_t maxElementBytes = 64 * 1024;
 
     // A connection, with bytes read ahead and its idle time.
     struct PooledStream {
@@ -37,7 +39,7 @@
         }
 
         boost::beast::tcp_stream m_stream;
-        boost::beast::flat_buffer m_buffer;
+        boost::beast::flat_buffer m_buffer { maxElementBytes };
         TimePoint m_lastUsed = Clock::now();
         // The peer's keep-alive timeout, if it announced one.
         std::optional<Millis> m_peerKeepAlive;
@@ -75,6 +77,9 @@
     {
         if (token && token->isCancelled())
             return HttpFailure::Cancelled;
+        const bool isParseError = error.category() == http::make_error_code(http::error::bad_value).category();
+        if (isParseError && error != http::error::end_of_stream && error != http::error::partial_message)
+            return HttpFailure::BadResponse;
         return error == boost::beast::error::timeout ? HttpFailure::Timeout : HttpFailure::ConnectionLost;
     }
 
@@ -172,8 +177,8 @@
             if (error && error != http::error::need_buffer)
                 co_return error;
             const size_t bytes = buffer.size() - parser.get().body().size;
-            if (bytes)
-                co_await hooks.chunk({ buffer.data(), bytes });
+            if (bytes && !co_await hooks.chunk({ buffer.data(), bytes }))
+                co_return http::error::body_limit;
         }
         co_return error_code();
     }
@@ -183,7 +188,8 @@
     Task<error_code> readHead(PooledStream& stream, std::optional<http::response_parser<http::buffer_body>>& parser, const HttpCall& call)
     {
         HttpStreamHooks discardHooks;
-        discardHooks.chunk = [](std::string_view) -> Task<> { co_return; };
+        size_t discarded = 0;
+        discardHooks.chunk = [&](std::string_view data) -> Task<bool> { co_return (discarded += data.size()) <= call.maxBodyBytes; };
         for (int skipped = 0; skipped < maxSkippedResponses; ++skipped) {
             parser.emplace();
             parser->body_limit(boost::none);
@@ -200,7 +206,7 @@
             if (error || !parser->keep_alive())
                 co_return error ? error : asio::error::eof;
         }
-        co_return asio::error::invalid_argument;
+        co_return http::error::bad_status;
     }
 
     // Sends the request and passes the response to the hooks.
@@ -280,9 +286,9 @@
     std::string body;
     HttpStreamHooks hooks;
     hooks.head = [](unsigned, const HeaderList&) -> Task<> { co_return; };
-    hooks.chunk = [&body](std::string_view data) -> Task<> {
+    hooks.chunk = [&body, limit = call.maxBodyBytes](std::string_view data) -> Task<bool> {
         body += data;
-        co_return;
+        co_return body.size() <= limit;
     };
     HttpResult result = co_await stream(std::move(call), std::move(hooks));
     result.body = std::move(body);
--- a/gateway/http.h
+++ b/gateway/http.h
@@ -121,7 +121,10 @@
     // No complete response within HttpCall::timeout; the request may have been sent.
     Timeout,
     // Cancelled through HttpCall::token; the request may have been sent.
-    Cancelled
+    Cancelled,
+    // The bytes received are not a response in HTTP, or more than the call takes; the request was
+    // sent.
+    BadResponse
 };
 
 struct HttpResult {
@@ -139,7 +142,8 @@
 // hooks slow down the sender through TCP flow control.
 struct HttpStreamHooks {
     std::function<Task<>(unsigned status, const HeaderList&)> head;
-    std::function<Task<>(std::string_view)> chunk;
+    // Returning false ends the call with BadResponse.
+    std::function<Task<bool>(std::string_view)> chunk;
 };
 
 // Cancels a call in progress. Not thread-safe: use it on the client's executor.
@@ -175,6 +179,8 @@
     // the next one is examined. If not set, the first response is accepted.
     std::function<bool(unsigned status, const HeaderList&)> acceptsResponse;
     std::shared_ptr<CancellationToken> token;
+    // Limit for a body that is buffered or dropped, but not for one that is passed to hooks.
+    size_t maxBodyBytes = size_t { 16 } << 20;
 };
 
 // Sends requests to one server over a pool of keep-alive connections.
--- a/sidecar/attempt-runner.cc
+++ b/sidecar/attempt-runner.cc
@@ -185,7 +185,7 @@
     co_return;
 }
 
-Task<> Sidecar::State::onChunk(AttemptPtr attempt, std::string data)
+Task<bool> Sidecar::State::onChunk(AttemptPtr attempt, std::string data)
 {
     attempt->bytes += data.size();
     if (!attempt->claimKey.empty() && attempt->answer.body.size() <= settings.ledger.maxRecordedBodyBytes)
@@ -198,6 +198,7 @@
         boost::system::error_code ignored;
         co_await attempt->windowTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
+    co_return true;
 }
 
 void Sidecar::State::onExecuted(const AttemptPtr& attempt, const HttpResult& result, bool died)
@@ -228,6 +229,9 @@
             poison.onDeath(attempt->open.digest, now);
         fail(attempt, Outcome::MayHaveRun, died ? Reason::EndpointDied : Reason::EndpointCut);
         return;
+    case HttpFailure::BadResponse:
+        fail(attempt, Outcome::MayHaveRun, Reason::SpoiledAnswer);
+        return;
     case HttpFailure::Timeout:
         fail(attempt, Outcome::MayHaveRun, Reason::Deadline);
         return;
--- a/sidecar/state.h
+++ b/sidecar/state.h
@@ -117,7 +117,7 @@
     // Sends the request to the endpoint and streams its answer to the entry.
     Task<> execute(AttemptPtr);
     Task<> onHead(AttemptPtr, unsigned status, HeaderList);
-    Task<> onChunk(AttemptPtr, std::string);
+    Task<bool> onChunk(AttemptPtr, std::string);
     void onExecuted(const AttemptPtr&, const HttpResult&, bool died);
     // Ends an attempt with a Failed frame.
     void fail(const AttemptPtr&, Outcome, Reason);
--- a/tests/direct-failure-test.cc
+++ b/tests/direct-failure-test.cc
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 #include <csignal>
 #include <doctest/doctest.h>
+#include <fstream>
 #include <thread>
 #include <unistd.h>
 
@@ -32,6 +33,16 @@
     return stream;
 }
 
+size_t peakMemoryKb(pid_t pid)
+{
+    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+    const std::string field = "VmHWM:";
+    for (std::string line; std::getline(status, line);)
+        if (line.starts_with(field))
+            return std::stoul(line.substr(field.size()));
+    return 0;
+}
+
 } // namespace
 
 TEST_CASE("direct: requests of all kinds are answered, with the account and without the key")
@@ -360,3 +371,32 @@
     CHECK(cluster.isReady());
     CHECK(cluster.call("POST", "/once/1", "n4").status == 200);
 }
+
+TEST_CASE("direct: an endpoint that sends without end neither fills the memory nor delays other requests")
+{
+    constexpr int callers = 8;
+    constexpr size_t maxMemoryKb = 100'000;
+    DirectCluster cluster;
+    REQUIRE(cluster.waitUntilReady());
+    for (const char* name : { "m1", "m2", "m3", "p1", "p2" })
+        cluster.setFault(name, "endless");
+    std::atomic<int> untruthful = 0;
+    const TimePoint start = Clock::now();
+    std::vector<std::thread> threads;
+    for (int i = 0; i < callers; ++i)
+        threads.emplace_back([&, i] {
+            for (const char* target : { "/lookup/1", "/once/1", "/stream/1" }) {
+                const HttpResult result = cluster.call("POST", target, "o" + std::to_string(i) + target);
+                untruthful += result.ok() && result.status != 502 && result.status != 503;
+            }
+        });
+    for (std::thread& thread : threads)
+        thread.join();
+    CHECK(untruthful == 0);
+    CHECK(Clock::now() - start < Millis(3000));
+    CHECK(peakMemoryKb(cluster.entry().pid()) < maxMemoryKb);
+    for (const char* name : { "m1", "m2", "m3", "p1", "p2" })
+        cluster.setFault(name, "none");
+    CHECK(waitUntil([&] { return cluster.call("POST", "/once/1", "o").status == 200; }));
+    CHECK(cluster.call("POST", "/stream/1", "o-stream").body == completeStream());
+}
