Divide the rate of cold endpoints by all known entries

The rate is divided by all entries that are registered or were ever heard, as the retry slack is. While all hear each other nothing changes.

--- a/direct/direct.cc
+++ b/direct/direct.cc
@@ -89,7 +89,7 @@
     poison = PoisonRecords(poisonSettings);
     retries = RetryBudget({ platform.retryRatio, platform.retryWindow });
     slackShare = SlackShare({ platform.retrySlack, platform.retryWindow }, Clock::now());
-    slackShare.onInstance(platform.instance);
+    addKnownInstance(platform.instance);
     store = std::make_unique<StoreClient>(controlIo.get_executor(), StoreClientSettings { storeAddress->first, storeAddress->second, settings.storeTimeout }, metrics);
     keeper = std::make_unique<DirectoryKeeper>([this](DirectorySnapshot updated) {
         asio::post(traffic, [this, updated = std::move(updated)] { onSnapshot(updated); });
@@ -159,7 +159,7 @@
     }
     asio::post(traffic, [this, isNew, entries = std::move(*entries)] {
         for (const RegisteredInstance& entry : entries) {
-            slackShare.onInstance(entry.name);
+            addKnownInstance(entry.name);
             peers->addPeer(entry.address);
         }
         const TimePoint now = Clock::now();
@@ -168,6 +168,12 @@
     });
 }
 
+void DirectEntry::State::addKnownInstance(std::string_view name)
+{
+    slackShare.onInstance(name);
+    dispatcher->setKnownInstances(slackShare.instanceCount());
+}
+
 void DirectEntry::State::updateSlackShare(TimePoint now)
 {
     const double share = slackShare.share(now);
@@ -293,7 +299,7 @@
 void DirectEntry::State::onPeerStatus(PeerStatus status)
 {
     livePeers.onStatus(status.sender, status.stopping, Clock::now());
-    slackShare.onInstance(status.sender.instance);
+    addKnownInstance(status.sender.instance);
     if (status.leading) {
         mapDriver->onLeaderHeard(Clock::now());
         updateSlowness(std::move(status.slowness));
--- a/direct/state.h
+++ b/direct/state.h
@@ -152,6 +152,8 @@
     // Registers this entry in the store and adds all registered entries as peers. Runs on the control
     // thread.
     Task<> joinPeers();
+    // Counts an instance that is registered or was heard in the limits that all instances share.
+    void addKnownInstance(std::string_view name);
     // Applies a change of this process's share of the retry slack to the retry budget.
     void updateSlackShare(TimePoint);
     void createMapDriver();
--- a/dispatch/dispatcher.cc
+++ b/dispatch/dispatcher.cc
@@ -71,7 +71,7 @@
 
 size_t Dispatcher::instanceCount(TimePoint now) const
 {
-    return std::max(detail::minSharingInstances, m_loads.livePeerCount(now) + 1);
+    return std::max({ detail::minSharingInstances, m_knownInstances, m_loads.livePeerCount(now) + 1 });
 }
 
 PlaceChoice Dispatcher::choosePlacement(const DispatchRequest& request, TimePoint now, std::vector<const EndpointRecord*>& candidates)
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -123,6 +123,8 @@
     // objective.
     double expectedGapRatio(const std::string& service, double mapUnevenness, TimePoint);
 
+    // Sets the number of instances that may exist, including this one and those that are not heard.
+    void setKnownInstances(size_t count) { m_knownInstances = count; }
     // Number of instances that share the rate limit of cold endpoints, including this one.
     size_t instanceCount(TimePoint) const;
 
@@ -160,6 +162,7 @@
 
     std::string m_zone;
     DispatchRules m_rules;
+    size_t m_knownInstances = 0;
     DirectorySnapshot m_snapshot;
     std::map<std::string, ServiceState, std::less<>> m_services;
     LoadTable m_loads;
