Ask an endpoint at whose address another answers ever less often

Callers whose request went to such an endpoint first got their answer from a second one, or a 503 when retries ran out.

Cause: a 421 counted as an answer of the endpoint, which ended its backoff, before it began a new one of 250 ms. So the backoff never grew. Now a 421 is no answer of the endpoint, and the backoff doubles up to 2 s.

--- a/direct/attempt.cc
+++ b/direct/attempt.cc
@@ -143,7 +143,7 @@
         logRequestEnd(job, answer.status, Reason::None, Outcome::Answered);
     }
     const bool failed = result.reason == Reason::EndpointFailed || result.reason == Reason::SpoiledAnswer;
-    if (callResult.ok())
+    if (callResult.ok() && result.reason != Reason::WrongEndpoint)
         dispatcher->health().onAnswer(target->record.id, std::chrono::duration_cast<Millis>(firstByteAt - sent), failed, Clock::now());
     if (result.outcome == Outcome::Answered && poison.size())
         poison.onCompleted(requestDigest(request, job));
--- a/tests/direct-failure-test.cc
+++ b/tests/direct-failure-test.cc
@@ -400,3 +400,27 @@
     CHECK(waitUntil([&] { return cluster.call("POST", "/once/1", "o").status == 200; }));
     CHECK(cluster.call("POST", "/stream/1", "o-stream").body == completeStream());
 }
+
+TEST_CASE("direct: an endpoint at whose address another answers is asked ever less often")
+{
+    constexpr Millis duration { 4000 };
+    DirectCluster cluster;
+    REQUIRE(cluster.waitUntilReady());
+    cluster.setFault("p1", "misdirect");
+    const TimePoint until = Clock::now() + duration;
+    int misdirected = 0;
+    for (int i = 0; Clock::now() < until; ++i) {
+        const std::string id = "q" + std::to_string(i);
+        CHECK(cluster.call("GET", "/lookup/1", id).status == 200);
+        misdirected += static_cast<int>(cluster.recordsOf(id, "rejected").size());
+        std::this_thread::sleep_for(Millis(20));
+    }
+    // Backoffs of 0.25, 0.5, 1 and 2 s.
+    CHECK(misdirected >= 1);
+    CHECK(misdirected <= 5);
+    cluster.setFault("p1", "none");
+    CHECK(waitUntil([&] {
+        cluster.call("GET", "/lookup/1", "q");
+        return cluster.runsByEndpoint()["p1"] > 0;
+    }));
+}
