Keep sending to peers that are silent

Entries that were cut off from each other for more than 10 s never heard each other again: each removed the other, and a peer is added only when it registers or sends. From then on they shared neither loads nor leadership nor counts of crashed endpoints.

A peer that is silent for 10 s gets a status each second, not ten, and is removed after ten minutes. The test with two exchanges in one process heard nothing before.

--- a/direct/peers-test.cc
+++ b/direct/peers-test.cc
@@ -36,6 +36,37 @@
     CHECK_FALSE(decodePeerStatus(R"({"instance":"a","run":1,"address":"x","handover":{"to":"b","base":1,"end":5}})")->offer);
 }
 
+TEST_CASE("entries that were cut off from each other for longer than the silence limit hear each other again")
+{
+    boost::asio::io_context context;
+    const PeerExchangeSettings settings { Millis(10), Millis(50), Millis(20), Millis(10'000) };
+    // Reserves a port at which no peer listens yet.
+    boost::asio::ip::udp::socket reserved(context, boost::asio::ip::udp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    const std::string secondAddress = "127.0.0.1:" + std::to_string(reserved.local_endpoint().port());
+    const auto hooksFor = [](const std::string& name, const std::string& address, int& received) {
+        PeerExchange::Hooks hooks;
+        hooks.ownStatus = [name, address] {
+            PeerStatus status;
+            status.sender = { name, 1 };
+            status.address = address;
+            return status;
+        };
+        hooks.onStatus = [&received](const PeerStatus&) { ++received; };
+        return hooks;
+    };
+    int receivedByFirst = 0;
+    int receivedBySecond = 0;
+    PeerExchange first(context.get_executor(), hooksFor("a", "127.0.0.1:1", receivedByFirst), settings);
+    REQUIRE(first.start("127.0.0.1:0"));
+    first.addPeer(secondAddress);
+    context.run_for(std::chrono::milliseconds(200));
+    reserved.close();
+    PeerExchange second(context.get_executor(), hooksFor("b", secondAddress, receivedBySecond), settings);
+    REQUIRE(second.start(secondAddress));
+    context.run_for(std::chrono::milliseconds(300));
+    CHECK(receivedBySecond > 0);
+}
+
 TEST_CASE("another instance takes over the leadership without the store, if enough numbers are left")
 {
     boost::asio::io_context context;
--- a/direct/peers.cc
+++ b/direct/peers.cc
@@ -17,10 +17,6 @@
 
 namespace detail {
 
-    // A twentieth of the duration of a streamed answer, so that peers know of most requests in flight.
-    constexpr Millis statusInterval { 100 };
-    // Long enough to keep a peer that is frozen or cut off for some seconds.
-    constexpr Millis peerTimeout { 10'000 };
     constexpr size_t maxDatagramBytes = 65'000;
 
     void readCounts(const json::object& object, std::string_view name, std::map<std::string, uint32_t, std::less<>>& counts)
@@ -150,9 +146,10 @@
     return status;
 }
 
-PeerExchange::PeerExchange(asio::any_io_executor executor, Hooks hooks)
+PeerExchange::PeerExchange(asio::any_io_executor executor, Hooks hooks, const PeerExchangeSettings& settings)
     : m_executor(executor)
     , m_hooks(std::move(hooks))
+    , m_settings(settings)
     , m_socket(executor)
 {
 }
@@ -183,19 +180,24 @@
     const auto endpoint = detail::udpEndpoint(address);
     if (!endpoint || address == m_address)
         return;
-    m_peers.insert_or_assign(address, Peer { *endpoint, Clock::now() });
+    Peer& peer = m_peers[address];
+    peer.endpoint = *endpoint;
+    peer.lastReceived = Clock::now();
 }
 
 Task<> PeerExchange::sendLoop()
 {
     while (true) {
-        co_await sleepFor(detail::statusInterval);
+        co_await sleepFor(m_settings.interval);
         const TimePoint now = Clock::now();
-        std::erase_if(m_peers, [&](const auto& peer) { return now - peer.second.lastReceived > detail::peerTimeout; });
+        std::erase_if(m_peers, [&](const auto& peer) { return now - peer.second.lastReceived > m_settings.forgetAfter; });
         if (m_peers.empty())
             continue;
         const std::string datagram = encodePeerStatus(m_hooks.ownStatus());
-        for (const auto& [address, peer] : m_peers) {
+        for (auto& [address, peer] : m_peers) {
+            if (now - peer.lastReceived > m_settings.silentAfter && now - peer.lastSent < m_settings.silentInterval)
+                continue;
+            peer.lastSent = now;
             // A failed send needs no retry: the next round sends the whole status again.
             boost::system::error_code ignored;
             m_socket.send_to(asio::buffer(datagram), peer.endpoint, 0, ignored);
--- a/direct/peers.h
+++ b/direct/peers.h
@@ -36,6 +36,18 @@
 // Returns nothing if the text is not a valid status message.
 std::optional<PeerStatus> decodePeerStatus(std::string_view);
 
+struct PeerExchangeSettings {
+    // Time between two status messages to a peer; a twentieth of the duration of a streamed answer,
+    // so that peers know of most requests in flight.
+    Millis interval { 100 };
+    // A peer that has sent nothing for this long may be gone, and gets a status at silentInterval
+    // only.
+    Millis silentAfter { 10'000 };
+    Millis silentInterval { 1000 };
+    // A silent peer is removed after this time, which is longer than entries stay cut off.
+    Millis forgetAfter { 600'000 };
+};
+
 // Sends this entry's status to all known peers at a fixed interval, and receives theirs.
 class PeerExchange {
 public:
@@ -46,14 +58,13 @@
         std::function<void(PeerStatus)> onStatus;
     };
 
-    PeerExchange(boost::asio::any_io_executor, Hooks);
+    PeerExchange(boost::asio::any_io_executor, Hooks, const PeerExchangeSettings& = {});
 
     // Binds the socket to `address` (IP:PORT) and starts the exchange. Returns false with
     // lastError() set if that fails.
     bool start(const std::string& address);
 
-    // Adds a peer (IP:PORT) to send to. A peer that sends nothing for a while is removed, and added
-    // again when it sends a status.
+    // Adds a peer (IP:PORT) to send to. Peers that send a status are added as well.
     void addPeer(const std::string& address);
 
     const std::string& lastError() const { return m_lastError; }
@@ -62,6 +73,7 @@
     struct Peer {
         boost::asio::ip::udp::endpoint endpoint;
         TimePoint lastReceived;
+        TimePoint lastSent;
     };
 
     Task<> sendLoop();
@@ -69,6 +81,7 @@
 
     boost::asio::any_io_executor m_executor;
     Hooks m_hooks;
+    PeerExchangeSettings m_settings;
     boost::asio::ip::udp::socket m_socket;
     std::string m_address;
     std::map<std::string, Peer, std::less<>> m_peers;
