--- a/tests/direct-cluster.cc
+++ b/tests/direct-cluster.cc
@@ -10,7 +10,6 @@
 
 namespace {
 
-    const std::vector<std::string> endpointNames { "m1", "m2", "m3", "p1", "p2" };
     // Ports of an entry relative to entryBasePort(), and of the first endpoint relative to m_basePort.
     constexpr int callerPortOffset = 1;
     constexpr int readinessPortOffset = 2;
@@ -43,6 +42,20 @@
 
 } // namespace
 
+const std::vector<std::string>& DirectCluster::endpointNames()
+{
+    static const std::vector<std::string> names { "m1", "m2", "m3", "p1", "p2" };
+    return names;
+}
+
+std::string completeStream()
+{
+    std::string stream;
+    for (int event = 1; event <= 10; ++event)
+        stream += "id: " + std::to_string(event) + "\ndata: token " + std::to_string(event) + "\n\n";
+    return stream;
+}
+
 bool waitUntil(const std::function<bool()>& condition)
 {
     constexpr Millis limit { 10'000 };
@@ -61,10 +74,10 @@
     , m_entryOutputDescriptor(entryOutputDescriptor)
 {
     startStore();
-    for (const std::string& name : endpointNames)
+    for (const std::string& name : endpointNames())
         startEndpoint(name);
     putConfiguration(1);
-    for (const std::string& name : endpointNames)
+    for (const std::string& name : endpointNames())
         registerEndpoint(name);
     startEntry();
 }
@@ -115,8 +128,8 @@
 
 int DirectCluster::endpointPort(const std::string& endpoint) const
 {
-    const auto found = std::find(endpointNames.begin(), endpointNames.end(), endpoint);
-    return m_basePort + firstEndpointPortOffset + static_cast<int>(found - endpointNames.begin());
+    const auto found = std::find(endpointNames().begin(), endpointNames().end(), endpoint);
+    return m_basePort + firstEndpointPortOffset + static_cast<int>(found - endpointNames().begin());
 }
 
 bool DirectCluster::isReady(int entry)
@@ -145,7 +158,7 @@
 
 HttpResult DirectCluster::call(std::string method, std::string target, std::string id, HeaderList headers, int entry)
 {
-    return callOnce(localAddress(entryBasePort(entry) + callerPortOffset), makeRequest(std::move(method), std::move(target), std::move(id), std::move(headers)));
+    return callOnce(callerAddress(entry), makeRequest(std::move(method), std::move(target), std::move(id), std::move(headers)));
 }
 
 void DirectCluster::callAndDisconnect(std::string method, std::string target, std::string id, Millis after)
@@ -193,23 +206,35 @@
     callOnce(name == "store" ? localAddress(m_basePort) : localAddress(endpointPort(name)), { "POST", "/fault", {}, json::serialize(body) });
 }
 
+std::string DirectCluster::callerAddress(int entry) const
+{
+    return localAddress(entryBasePort(entry) + callerPortOffset);
+}
+
+std::vector<json::object> DirectCluster::records() const
+{
+    std::vector<json::object> all;
+    for (const std::string& name : endpointNames())
+        for (json::object& line : readLines(m_directory.path(name)))
+            all.push_back(std::move(line));
+    return all;
+}
+
 std::vector<json::object> DirectCluster::recordsOf(const std::string& id, const std::string& kind) const
 {
     std::vector<json::object> runs;
-    for (const std::string& name : endpointNames)
-        for (json::object& line : readLines(m_directory.path(name)))
-            if (line.at("what").as_string() == kind && line.at("request").as_string() == id)
-                runs.push_back(std::move(line));
+    for (json::object& line : records())
+        if (line.at("what").as_string() == kind && line.at("request").as_string() == id)
+            runs.push_back(std::move(line));
     return runs;
 }
 
 int DirectCluster::repeatArrivals() const
 {
     std::map<std::string, int> arrivals;
-    for (const std::string& name : endpointNames)
-        for (const json::object& line : readLines(m_directory.path(name)))
-            if (line.at("what").as_string() != "left")
-                ++arrivals[std::string(line.at("request").as_string())];
+    for (const json::object& line : records())
+        if (line.at("what").as_string() != "left")
+            ++arrivals[std::string(line.at("request").as_string())];
     int repeats = 0;
     for (const auto& [id, count] : arrivals)
         repeats += count - 1;
@@ -219,7 +244,7 @@
 std::map<std::string, int> DirectCluster::runsByEndpoint() const
 {
     std::map<std::string, int> runs;
-    for (const std::string& name : endpointNames)
+    for (const std::string& name : endpointNames())
         for (const json::object& line : readLines(m_directory.path(name)))
             if (line.at("what").as_string() == "run")
                 ++runs[name];
--- a/tests/direct-cluster.h
+++ b/tests/direct-cluster.h
@@ -36,6 +36,9 @@
     // Checks the readiness probe once.
     bool isReady(int entry = 0);
 
+    // Address (IP:PORT) at which an entry accepts callers.
+    std::string callerAddress(int entry) const;
+
     // Sends a request with the given id to an entry. Adds "key-1" and a deadline of 3 s unless `headers` holds
     // an Authorization or X-Deadline-Ms.
     HttpResult call(std::string method, std::string target, std::string id, HeaderList headers = {}, int entry = 0);
@@ -53,6 +56,9 @@
     // modes; "none" ends the fault. It applies to the next `count` requests, or to all if that is 0.
     void setFault(const std::string& name, const std::string& mode, int delayMs = 0, int count = 0);
 
+    // All records that endpoints wrote, grouped by endpoint.
+    std::vector<boost::json::object> records() const;
+
     // Records of a kind that endpoints wrote about the request with this id, grouped by endpoint. Kinds: "run", and
     // "left" for a stream whose connection was closed before its end.
     std::vector<boost::json::object> recordsOf(const std::string& id, const std::string& kind = "run") const;
@@ -68,6 +74,8 @@
     // Metrics of the first entry in text format.
     std::string metrics();
 
+    static const std::vector<std::string>& endpointNames();
+
 private:
     static HttpRequest makeRequest(std::string method, std::string target, std::string id, HeaderList headers);
     int endpointPort(const std::string& endpoint) const;
@@ -87,6 +95,9 @@
     std::map<int, std::unique_ptr<Process>> m_entries;
 };
 
+// All ten events of a stream of the stand-in endpoint.
+std::string completeStream();
+
 // Polls the condition until it is true. Returns false after ten seconds.
 bool waitUntil(const std::function<bool()>&);
 
--- a/tests/direct-failure-test.cc
+++ b/tests/direct-failure-test.cc
@@ -24,15 +24,6 @@
     return value && value->is_string() ? std::string(value->get_string()) : std::string();
 }
 
-// All ten events of a stream of the stand-in endpoint.
-std::string completeStream()
-{
-    std::string stream;
-    for (int event = 1; event <= 10; ++event)
-        stream += "id: " + std::to_string(event) + "\ndata: token " + std::to_string(event) + "\n\n";
-    return stream;
-}
-
 size_t peakMemoryKb(pid_t pid)
 {
     std::ifstream status("/proc/" + std::to_string(pid) + "/status");
@@ -383,6 +374,7 @@
     std::atomic<int> untruthful = 0;
     const TimePoint start = Clock::now();
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     for (int i = 0; i < callers; ++i)
         threads.emplace_back([&, i] {
             for (const char* target : { "/lookup/1", "/once/1", "/stream/1" }) {
