Log what marked the end of each answer

The lines of answered requests and failed attempts now hold the framing and the bytes of an incomplete event, and orioletrail_answers_total counts attempts by framing and result, in both data paths. No decision changes.

--- a/direct/attempt.cc
+++ b/direct/attempt.cc
@@ -114,6 +114,7 @@
     };
     const HttpResult callResult = co_await target->client->stream(std::move(call), std::move(hooks));
     silenceTimer->stop();
+    job.framing = callResult.framing;
     dispatcher->onEnded(job.service, target->record.id, Clock::now());
     DirectAttemptResult result;
     if (isStream && callResult.ok()) {
@@ -246,8 +247,9 @@
         dispatcher->health().onUnreachable(endpoint, now);
     if (result.reason == Reason::WrongEndpoint)
         dispatcher->health().onUnreachable(endpoint, now);
+    metrics.count("orioletrail_answers_total", "framing=\"" + std::string(bodyFramingName(callResult.framing)) + "\",result=\"" + std::string(outcomeName(result.outcome)) + '"');
     if (result.outcome != Outcome::Answered)
-        log(LogLevel::Info, "attempt failed", { { "request", job.caller.id }, { "endpoint", endpoint }, { "status", std::to_string(callResult.status) }, { "reason", std::string(reasonName(result.reason)) }, { "run", std::string(outcomeName(result.outcome)) }, { "reused", callResult.usedPooledConnection ? "true" : "false" }, { "failedEndpoint", head.failedEndpoint }, { "lastEvent", job.events.lastId() } });
+        log(LogLevel::Info, "attempt failed", { { "request", job.caller.id }, { "endpoint", endpoint }, { "status", std::to_string(callResult.status) }, { "reason", std::string(reasonName(result.reason)) }, { "run", std::string(outcomeName(result.outcome)) }, { "reused", callResult.usedPooledConnection ? "true" : "false" }, { "failedEndpoint", head.failedEndpoint }, { "lastEvent", job.events.lastId() }, { "framing", std::string(bodyFramingName(callResult.framing)) }, { "partialEventBytes", std::to_string(job.events.remainder().size()) } });
     dispatcher->wakeWaiting(job.service, now);
 }
 
--- a/direct/request.cc
+++ b/direct/request.cc
@@ -242,7 +242,8 @@
             { "status", number(status) }, { "reason", std::string(reasonName(reason)) }, { "run", std::string(outcomeName(outcome)) },
             { "waitedMs", number(job.queueTime.count()) }, { "tookMs", number(duration.count()) },
             { "timeLeftMs", number(job.caller.timeLeft.value_or(Millis(0)).count()) },
-            { "configuration", number(job.catalog ? job.catalog->version() : 0) } });
+            { "configuration", number(job.catalog ? job.catalog->version() : 0) }, { "framing", std::string(bodyFramingName(job.framing)) },
+            { "lastEvent", job.events.lastId() }, { "partialEventBytes", number(job.events.remainder().size()) } });
 }
 
 } // namespace orioletrail
--- a/direct/state.h
+++ b/direct/state.h
@@ -69,6 +69,8 @@
     bool isRetryCharged = false;
     // The head of a streamed answer has been sent to the caller.
     bool streamBegun = false;
+    // How the end of the last attempt's answer was marked.
+    BodyFraming framing = BodyFraming::Unknown;
     EventSplitter events;
     // Endpoint at which a place is reserved for the next attempt, or null.
     std::shared_ptr<Target> target;
--- a/gateway/client.cc
+++ b/gateway/client.cc
@@ -224,6 +224,15 @@
         co_return co_await readBody(stream, *parser, hooks);
     }
 
+    BodyFraming framingOf(const std::optional<http::response_parser<http::buffer_body>>& parser)
+    {
+        if (!parser || !parser->is_header_done())
+            return BodyFraming::Unknown;
+        if (parser->need_eof())
+            return BodyFraming::Connection;
+        return parser->chunked() ? BodyFraming::Chunks : BodyFraming::Length;
+    }
+
     // Parses "timeout=N", in seconds, of a Keep-Alive header.
     std::optional<Millis> parseKeepAliveTimeout(std::string_view header)
     {
@@ -266,6 +275,7 @@
     const error_code error = co_await detail::exchange(*stream, message, parser, call, hooks);
     if (call.token)
         call.token->onCancel(nullptr);
+    result.framing = detail::framingOf(parser);
     if (error) {
         result.failure = detail::classifyFailure(error, call.token);
         detail::closeWithReset(*stream);
--- a/gateway/http.cc
+++ b/gateway/http.cc
@@ -15,6 +15,21 @@
 
 } // namespace detail
 
+std::string_view bodyFramingName(BodyFraming framing)
+{
+    switch (framing) {
+    case BodyFraming::Unknown:
+        break;
+    case BodyFraming::Length:
+        return "length";
+    case BodyFraming::Chunks:
+        return "chunks";
+    case BodyFraming::Connection:
+        return "connection";
+    }
+    return "unknown";
+}
+
 HeaderList endToEndHeaders(const HeaderList& headers)
 {
     HeaderList forwarded;
--- a/gateway/http.h
+++ b/gateway/http.h
@@ -127,8 +127,24 @@
     BadResponse
 };
 
+// What marks the end of a response body.
+enum class BodyFraming : uint8_t {
+    // No head has been received.
+    Unknown,
+    // The Content-Length header, or a status that has no body.
+    Length,
+    // The last chunk of the chunked encoding.
+    Chunks,
+    // The end of the connection. The sender may have ended it early.
+    Connection
+};
+
+// Lower-case name of a framing in logs and metrics.
+std::string_view bodyFramingName(BodyFraming);
+
 struct HttpResult {
     HttpFailure failure = HttpFailure::None;
+    BodyFraming framing = BodyFraming::Unknown;
     // The call used a pooled connection that had carried earlier calls.
     bool usedPooledConnection = false;
     unsigned status = 0;
--- a/sidecar/attempt-runner.cc
+++ b/sidecar/attempt-runner.cc
@@ -209,6 +209,7 @@
     if (result.failure != HttpFailure::Cancelled)
         ramp.onCompleted(firstByte, failed);
     metrics.observeLatency("orioletrail_endpoint_seconds", now - attempt->started);
+    metrics.count("orioletrail_answers_total", "framing=\"" + std::string(bodyFramingName(result.framing)) + "\",result=\"" + (result.ok() ? "answered" : "failed") + '"');
     resolveClaim(attempt, result);
     switch (result.failure) {
     case HttpFailure::None: {
