Test that a stream that ends within an event never looks complete

The stand-ins of endpoints sent every answer with a length or in chunks, so an early end always showed. They can now send an answer that ends with its connection, whole or cut within an event; a response of the HTTP server can have that framing, and is then aborted with a reset.

--- a/fakes/engine.cc
+++ b/fakes/engine.cc
@@ -61,13 +61,13 @@
                 co_await responder.respond(answer);
                 co_return;
             }
-            const std::string fault = m_server.consumeFault("stall slow cut");
+            const std::string fault = m_server.consumeFault("stall slow cut unframed unframed-cut");
             co_await sleepFor(fault == "stall" ? stallDuration : fault == "slow" ? m_server.faultDelay()
                                                                                  : m_settings.firstTokenDelay);
             const size_t count = body.contains("max_tokens") ? body.at("max_tokens").to_number<size_t>() : 8;
             const std::vector<std::string> tokens = completionTokens(prompt, count);
             if (body.contains("stream") && body.at("stream").as_bool())
-                co_await streamCompletion(responder, tokens, fault == "cut");
+                co_await streamCompletion(responder, tokens, fault);
             else
                 co_await respondWithCompletion(responder, tokens);
         }
@@ -84,17 +84,22 @@
             co_await responder.respond(answer);
         }
 
-        Task<> streamCompletion(Responder& responder, const std::vector<std::string>& tokens, bool cutHalfway)
+        Task<> streamCompletion(Responder& responder, const std::vector<std::string>& tokens, const std::string& fault)
         {
             const HeaderList headers { { "Content-Type", "text/event-stream" } };
-            co_await responder.begin(200, headers);
+            co_await responder.begin(200, headers, fault.starts_with("unframed") ? BodyFraming::Connection : BodyFraming::Chunks);
             for (size_t i = 0; i < tokens.size(); ++i) {
-                if (cutHalfway && i == tokens.size() / 2) {
+                if (fault == "cut" && i == tokens.size() / 2) {
                     responder.abort();
                     co_return;
                 }
                 const json::object choice { { "index", 0 }, { "delta", json::object { { "content", tokens[i] } } } };
                 const std::string data = "data: " + json::serialize(json::object { { "choices", json::array { choice } } }) + "\n\n";
+                if (fault == "unframed-cut" && i == tokens.size() / 2) {
+                    co_await responder.chunk(std::string_view(data).substr(0, data.size() / 2));
+                    co_await responder.end();
+                    co_return;
+                }
                 if (!co_await responder.chunk(data))
                     co_return;
                 if (m_settings.tokenInterval.count())
--- a/fakes/engine.h
+++ b/fakes/engine.h
@@ -3,6 +3,8 @@
 // - "stall": delays the answer by ten minutes.
 // - "slow": delays the first token by delayMs.
 // - "cut": closes the connection halfway through a stream.
+// - "unframed": sends streams with neither a length nor chunks, whose end is the end of the connection.
+// - "unframed-cut": as "unframed", but ends within an event.
 #pragma once
 
 #include "fakes/fake.h"
--- a/fakes/replica.cc
+++ b/fakes/replica.cc
@@ -40,7 +40,7 @@
         {
             constexpr unsigned misdirected = 421;
             constexpr unsigned unavailable = 503;
-            const std::string fault = m_server.consumeFault("refuse misdirect lose cut endless fail slow extra");
+            const std::string fault = m_server.consumeFault("refuse misdirect lose cut endless fail slow extra unframed unframed-cut");
             if (fault == "misdirect" || request.header("X-Expect-Replica") != name()) {
                 co_await reject(request, responder, misdirected);
                 co_return;
@@ -61,7 +61,7 @@
             else if (fault == "endless")
                 co_await sendWithoutEnd(request, responder);
             else if (request.target.starts_with("/stream/"))
-                co_await streamEvents(request, responder, fault == "cut");
+                co_await streamEvents(request, responder, fault);
             else
                 co_await respond(request, responder, fault);
             --m_inFlight;
@@ -79,6 +79,17 @@
 
         Task<> respond(const HttpRequest& request, Responder& responder, const std::string& fault)
         {
+            if (fault.starts_with("unframed")) {
+                co_await responder.begin(200, answerHeaders(request), BodyFraming::Connection);
+                co_await responder.chunk("done ");
+                if (fault == "unframed-cut") {
+                    responder.abort();
+                    co_return;
+                }
+                co_await responder.chunk(request.header("X-Request-Id"));
+                co_await responder.end();
+                co_return;
+            }
             HttpResponse answer { fault == "fail" ? 500U : 200U, answerHeaders(request), "done " + std::string(request.header("X-Request-Id")) };
             co_await responder.respond(answer);
             if (fault != "extra")
@@ -87,18 +98,22 @@
             co_await responder.respond(answer);
         }
 
-        Task<> streamEvents(const HttpRequest& request, Responder& responder, bool cutWithinEvent)
+        Task<> streamEvents(const HttpRequest& request, Responder& responder, const std::string& fault)
         {
             HeaderList streamHeaders = answerHeaders(request);
             streamHeaders.emplace_back("Content-Type", "text/event-stream");
             const std::string from(request.header("Last-Event-Id"));
             const int first = from.empty() ? 1 : std::stoi(from) + 1;
-            co_await responder.begin(200, streamHeaders);
+            const bool isUnframed = fault.starts_with("unframed");
+            co_await responder.begin(200, streamHeaders, isUnframed ? BodyFraming::Connection : BodyFraming::Chunks);
             for (int event = first; event <= m_settings.eventCount; ++event) {
                 const std::string text = "id: " + std::to_string(event) + "\ndata: token " + std::to_string(event) + "\n\n";
-                if (cutWithinEvent && event == first + 3) {
+                if (fault.ends_with("cut") && event == first + 3) {
                     co_await responder.chunk(std::string_view(text).substr(0, text.size() / 2));
-                    responder.abort();
+                    if (isUnframed)
+                        co_await responder.end();
+                    else
+                        responder.abort();
                     co_return;
                 }
                 if (!co_await responder.chunk(text)) {
--- a/fakes/replica.h
+++ b/fakes/replica.h
@@ -7,6 +7,8 @@
 // - "refuse": rejects the request with 503 without running it.
 // - "lose": runs the request and closes the connection without an answer.
 // - "cut": closes the connection within an event of a stream.
+// - "unframed": sends answers with neither a length nor chunks, whose end is the end of the connection.
+// - "unframed-cut": as "unframed", but ends within an event of a stream; other answers end with a reset.
 // - "fail": answers 500.
 // - "slow": delays the answer by delayMs.
 // - "endless": sends a body, or for a stream an event, that has no end.
--- a/gateway/http.h
+++ b/gateway/http.h
@@ -36,8 +36,23 @@
     std::string body;
 };
 
-// Writes the response to one request: either complete with respond(), or in chunked encoding with
-// begin(), chunk() and end().
+// What marks the end of a response body.
+enum class BodyFraming : uint8_t {
+    // No head has been received.
+    Unknown,
+    // The Content-Length header, or a status that has no body.
+    Length,
+    // The last chunk of the chunked encoding.
+    Chunks,
+    // The end of the connection. The sender may have ended it early.
+    Connection
+};
+
+// Lower-case name of a framing in logs and metrics.
+std::string_view bodyFramingName(BodyFraming);
+
+// Writes the response to one request: either complete with respond(), or in parts with begin(),
+// chunk() and end().
 class Responder {
 public:
     virtual ~Responder() = default;
@@ -45,17 +60,18 @@
     // Sends a complete response.
     virtual Task<> respond(const HttpResponse&) = 0;
 
-    // Sends the status line and headers of a chunked response.
-    virtual Task<> begin(unsigned status, const HeaderList&) = 0;
+    // Sends the status line and headers of a response in parts, whose end is marked by the last
+    // chunk or by the end of the connection.
+    virtual Task<> begin(unsigned status, const HeaderList&, BodyFraming = BodyFraming::Chunks) = 0;
 
     // Sends one chunk; completes once it is written to the socket. Returns false if the connection
     // has failed. An empty chunk is not sent.
     virtual Task<bool> chunk(std::string_view) = 0;
 
-    // Sends the last chunk, which marks the response as complete.
+    // Marks the response as complete.
     virtual Task<> end() = 0;
 
-    // Shuts down the connection, so that the client recognizes a chunked response as incomplete.
+    // Ends the connection in a way that shows the client that the response is incomplete.
     virtual void abort() = 0;
 
     // Sets the callback that runs once when the client closes the connection; replaces an earlier
@@ -127,21 +143,6 @@
     BadResponse
 };
 
-// What marks the end of a response body.
-enum class BodyFraming : uint8_t {
-    // No head has been received.
-    Unknown,
-    // The Content-Length header, or a status that has no body.
-    Length,
-    // The last chunk of the chunked encoding.
-    Chunks,
-    // The end of the connection. The sender may have ended it early.
-    Connection
-};
-
-// Lower-case name of a framing in logs and metrics.
-std::string_view bodyFramingName(BodyFraming);
-
 struct HttpResult {
     HttpFailure failure = HttpFailure::None;
     BodyFraming framing = BodyFraming::Unknown;
--- a/gateway/server.cc
+++ b/gateway/server.cc
@@ -67,11 +67,13 @@
             m_failed = m_failed || error;
         }
 
-        Task<> begin(unsigned status, const HeaderList& headers) override
+        Task<> begin(unsigned status, const HeaderList& headers, BodyFraming framing) override
         {
+            m_endsWithConnection = framing == BodyFraming::Connection;
+            m_keepAlive = m_keepAlive && !m_endsWithConnection;
             http::response<http::empty_body> response(static_cast<http::status>(status), 11);
             setHeaders(response, headers);
-            response.chunked(true);
+            response.chunked(!m_endsWithConnection);
             m_headSent = true;
             http::response_serializer<http::empty_body> serializer(response);
             m_stream.expires_after(sendTimeout);
@@ -86,8 +88,10 @@
                 co_return !m_failed;
             m_stream.expires_after(sendTimeout);
             error_code error;
-            co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(data)),
-                asio::redirect_error(asio::use_awaitable, error));
+            if (m_endsWithConnection)
+                co_await asio::async_write(m_stream, asio::buffer(data), asio::redirect_error(asio::use_awaitable, error));
+            else
+                co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(data)), asio::redirect_error(asio::use_awaitable, error));
             m_failed = m_failed || error;
             co_return !m_failed;
         }
@@ -96,7 +100,7 @@
         {
             m_ended = true;
             error_code error;
-            if (!m_failed)
+            if (!m_failed && !m_endsWithConnection)
                 co_await asio::async_write(m_stream, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, error));
             m_failed = m_failed || error;
         }
@@ -105,7 +109,13 @@
         {
             m_failed = true;
             error_code ignored;
-            m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+            // Only a reset shows that a response that ends with its connection is incomplete.
+            if (m_endsWithConnection) {
+                m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+                m_stream.socket().close(ignored);
+            } else {
+                m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+            }
         }
 
         void onClientDisconnect(std::function<void()> callback) override
@@ -161,6 +171,8 @@
         bool m_ended = false;
         bool m_failed = false;
         bool m_watching = false;
+        // The end of the connection marks the end of the response.
+        bool m_endsWithConnection = false;
     };
 
     HttpRequest toHttpRequest(http::request<http::string_body>&& message)
--- a/tests/direct-failure-test.cc
+++ b/tests/direct-failure-test.cc
@@ -101,6 +101,42 @@
     }
 }
 
+TEST_CASE("direct: a stream that its endpoint ended within an event never looks complete")
+{
+    DirectCluster cluster;
+    REQUIRE(cluster.waitUntilReady());
+    for (const char* name : { "m1", "m2", "m3" })
+        cluster.setFault(name, "unframed-cut", 0, 1);
+    const HttpResult broken = cluster.call("POST", "/stream/1", "r1");
+    CHECK_FALSE(broken.ok());
+    CHECK(cluster.recordsOf("r1").size() == 2);
+    // One endpoint still ends its next stream early.
+    for (int i = 0; i < 4; ++i) {
+        const HttpResult resumed = cluster.call("POST", "/stream/1", "r2-" + std::to_string(i));
+        CHECK(resumed.ok());
+        CHECK(resumed.body == completeStream());
+    }
+}
+
+TEST_CASE("direct: an answer with neither a length nor chunks is whole unless its connection is reset")
+{
+    DirectCluster cluster;
+    REQUIRE(cluster.waitUntilReady());
+    for (const std::string& name : DirectCluster::endpointNames())
+        cluster.setFault(name, "unframed");
+    for (const char* target : { "/stream/1", "/once/1", "/lookup/1" }) {
+        const std::string id = std::string("s1") + target;
+        const HttpResult result = cluster.call("POST", target, id);
+        CHECK(result.status == 200);
+        CHECK(result.body == (std::string_view(target).starts_with("/stream/") ? completeStream() : "done " + id));
+        CHECK(cluster.recordsOf(id).size() == 1);
+    }
+    for (const char* name : { "p1", "p2" })
+        cluster.setFault(name, "unframed-cut");
+    CHECK(cluster.call("POST", "/once/1", "s2").status == 502);
+    CHECK(cluster.recordsOf("s2").size() == 1);
+}
+
 TEST_CASE("direct: an answer too many belongs to no request")
 {
     DirectCluster cluster;
--- a/tests/endpoint-failure-test.cc
+++ b/tests/endpoint-failure-test.cc
@@ -64,6 +64,21 @@
     CHECK(cluster.judge().wrongAnswers == 0);
 }
 
+TEST_CASE("a stream that its endpoint ended within an event never looks complete")
+{
+    Cluster cluster;
+    REQUIRE(cluster.waitUntilReady());
+    const auto callers = cluster.startLoadGenerator(Millis(3000), { "--orders", "0", "--lookups", "0" });
+    std::this_thread::sleep_for(Millis(500));
+    cluster.setFault("z1-m1", "unframed-cut", 0, 20);
+    cluster.setFault("z2-m1", "unframed-cut", 0, 20);
+    cluster.setFault("z2-m2", "unframed", 0, 20);
+    REQUIRE(callers->wait(Millis(30'000)) == 0);
+    const fakes::Verdict verdict = cluster.judge();
+    CHECK(verdict.wrongAnswers == 0);
+    CHECK(verdict.resultCounts.at("completion").contains("broken"));
+}
+
 TEST_CASE("a request that crashes endpoints and is sent again takes down at most three")
 {
     Cluster cluster({ 3, 2, 1, false, { "--crash-word", "CRASH" }, {}, {} });
