Break off an answer whose stream ends within an event

Cause: an answer with neither a length nor chunks ends with its connection, and both data paths took any orderly end of the connection for the end of the answer. The direct entry forwarded what followed the last whole event and sent its own last chunk; the sidecar reported the end of the answer, and a claim would have recorded it as whole.

Now the HTTP client asks its user at the end of a body whether the content is complete, whatever marks that end; an event stream is not if it ends within an event. Such a call fails as truncated: the stream is resumed if the route allows it, or the caller's connection ends without the last chunk. Sidecars send whole events only. The splitter takes CR alone and mixed line ends too, since an event it did not see end is now an error.

--- a/direct/attempt.cc
+++ b/direct/attempt.cc
@@ -43,6 +43,8 @@
             return Reason::CallerGone;
         case HttpFailure::BadResponse:
             return Reason::SpoiledAnswer;
+        case HttpFailure::Truncated:
+            return Reason::Truncated;
         case HttpFailure::ConnectionLost:
             break;
         }
@@ -112,13 +114,14 @@
             job.cancelToken->cancel();
         co_return job.events.remainder().size() <= detail::maxEventBytes;
     };
+    hooks.isComplete = [&](BodyFraming) { return !isStream || !job.events.isWithinEvent(); };
     const HttpResult callResult = co_await target->client->stream(std::move(call), std::move(hooks));
     silenceTimer->stop();
     job.framing = callResult.framing;
     dispatcher->onEnded(job.service, target->record.id, Clock::now());
     DirectAttemptResult result;
     if (isStream && callResult.ok()) {
-        // The body is complete. Bytes after the last event are forwarded too.
+        // Empty lines and comments after the last event are forwarded too.
         const std::string remainder = job.events.remainder();
         if (!job.streamBegun) {
             job.streamBegun = true;
@@ -148,7 +151,8 @@
         dispatcher->health().onAnswer(target->record.id, std::chrono::duration_cast<Millis>(firstByteAt - sent), failed, Clock::now());
     if (result.outcome == Outcome::Answered && poison.size())
         poison.onCompleted(requestDigest(request, job));
-    if (callResult.failure == HttpFailure::ConnectionLost && !job.callerGone)
+    const bool isBrokenOff = callResult.failure == HttpFailure::ConnectionLost || callResult.failure == HttpFailure::Truncated;
+    if (isBrokenOff && !job.callerGone)
         crashes.onLost(target->record.id, requestDigest(request, job), Clock::now());
     if (callResult.failure == HttpFailure::Connect)
         onEndpointEnded(target->record.id);
--- a/gateway/client.cc
+++ b/gateway/client.cc
@@ -281,6 +281,11 @@
         detail::closeWithReset(*stream);
         co_return result;
     }
+    if (hooks.isComplete && !hooks.isComplete(result.framing)) {
+        result.failure = HttpFailure::Truncated;
+        detail::closeWithReset(*stream);
+        co_return result;
+    }
     result.status = parser->get().result_int();
     result.headers = detail::toHeaderList(parser->get());
     stream->m_stream.expires_never();
--- a/gateway/events-test.cc
+++ b/gateway/events-test.cc
@@ -22,6 +22,36 @@
     }
 }
 
+TEST_CASE("a stream ends within an event unless an empty line has ended the last one")
+{
+    const auto endsWithin = [](std::string_view stream) {
+        EventSplitter splitter;
+        splitter.push(stream);
+        return splitter.isWithinEvent();
+    };
+    CHECK_FALSE(endsWithin(""));
+    CHECK_FALSE(endsWithin("data: a\n\n"));
+    CHECK_FALSE(endsWithin("data: a\r\n\r\n"));
+    CHECK_FALSE(endsWithin("data: a\r\r"));
+    CHECK_FALSE(endsWithin("data: a\n\r\n"));
+    CHECK_FALSE(endsWithin("data: a\n\n\n: ping\n"));
+    CHECK(endsWithin("data: a\n\nd"));
+    CHECK(endsWithin("data: a\n\n: pi"));
+    CHECK(endsWithin("data: a\n\nid: 2\n"));
+    CHECK(endsWithin("data: a\n\nid: 2\r"));
+    CHECK(endsWithin("data: a\n\nid: 2\n: ping\n"));
+    CHECK(endsWithin("data: a\r\n"));
+}
+
+TEST_CASE("events whose lines end with CR alone are passed on, the last at the end of the stream")
+{
+    EventSplitter splitter;
+    CHECK(splitter.push("id: 1\rdata: a\r\rid: 2\rdata: b\r\r") == "id: 1\rdata: a\r\r");
+    CHECK(splitter.lastId() == "1");
+    CHECK_FALSE(splitter.isWithinEvent());
+    CHECK(splitter.remainder() == "id: 2\rdata: b\r\r");
+}
+
 TEST_CASE("dropRemainder discards an incomplete event and keeps the id of the last complete one")
 {
     EventSplitter splitter;
--- a/gateway/events.cc
+++ b/gateway/events.cc
@@ -1,19 +1,41 @@
 #include "gateway/events.h"
 
+#include <utility>
+
 namespace orioletrail {
 
 namespace detail {
 
+    // A line without its end, which is LF, CR or CRLF.
+    struct Line {
+        std::string_view text;
+        // False if the end of the line is missing.
+        bool isEnded = false;
+    };
+
+    // Removes and returns the first line of `text`.
+    Line takeLine(std::string_view& text)
+    {
+        const size_t at = text.find_first_of("\r\n");
+        if (at == std::string_view::npos)
+            return { std::exchange(text, {}), false };
+        const Line line { text.substr(0, at), true };
+        text.remove_prefix(text.substr(at).starts_with("\r\n") ? at + 2 : at + 1);
+        return line;
+    }
+
     // Returns the offset just past the last empty line, or 0 if there is none.
     size_t endOfLastEvent(std::string_view text)
     {
+        // The LF that belongs to this CR may still arrive.
+        if (text.ends_with('\r'))
+            text.remove_suffix(1);
         size_t end = 0;
-        const size_t lfEnd = text.rfind("\n\n");
-        if (lfEnd != std::string_view::npos)
-            end = lfEnd + 2;
-        const size_t crlfEnd = text.rfind("\r\n\r\n");
-        if (crlfEnd != std::string_view::npos && crlfEnd + 4 > end)
-            end = crlfEnd + 4;
+        for (std::string_view rest = text; !rest.empty();) {
+            const Line line = takeLine(rest);
+            if (line.isEnded && line.text.empty())
+                end = text.size() - rest.size();
+        }
         return end;
     }
 
@@ -21,17 +43,14 @@
     // none.
     void updateLastId(std::string_view events, std::string& id)
     {
+        constexpr std::string_view field = "id:";
         while (!events.empty()) {
-            const size_t end = events.find('\n');
-            std::string_view line = events.substr(0, end);
-            events = end == std::string_view::npos ? std::string_view() : events.substr(end + 1);
-            if (!line.starts_with("id:"))
+            std::string_view line = takeLine(events).text;
+            if (!line.starts_with(field))
                 continue;
-            line.remove_prefix(3);
+            line.remove_prefix(field.size());
             if (line.starts_with(' '))
                 line.remove_prefix(1);
-            if (line.ends_with('\r'))
-                line.remove_suffix(1);
             id = line;
         }
     }
@@ -50,4 +69,17 @@
     return complete;
 }
 
+bool EventSplitter::isWithinEvent() const
+{
+    bool isWithin = false;
+    for (std::string_view rest = m_pending; !rest.empty();) {
+        const detail::Line line = detail::takeLine(rest);
+        if (!line.isEnded)
+            return true;
+        if (!line.text.starts_with(':'))
+            isWithin = !line.text.empty();
+    }
+    return isWithin;
+}
+
 } // namespace orioletrail
--- a/gateway/events.h
+++ b/gateway/events.h
@@ -16,6 +16,9 @@
     // The bytes received so far of an incomplete event.
     const std::string& remainder() const { return m_pending; }
 
+    // True if the remainder holds part of an event. Empty lines and comments are none.
+    bool isWithinEvent() const;
+
     // Discards the incomplete event, since an endpoint that takes over the stream sends it from its
     // beginning.
     void dropRemainder() { m_pending.clear(); }
--- a/gateway/http.h
+++ b/gateway/http.h
@@ -140,7 +140,9 @@
     Cancelled,
     // The bytes received are not a response in HTTP, or more than the call takes; the request was
     // sent.
-    BadResponse
+    BadResponse,
+    // The body ended where its content is incomplete; the request was sent.
+    Truncated
 };
 
 struct HttpResult {
@@ -161,6 +163,8 @@
     std::function<Task<>(unsigned status, const HeaderList&)> head;
     // Returning false ends the call with BadResponse.
     std::function<Task<bool>(std::string_view)> chunk;
+    // Called at the end of the body. Returning false ends the call with Truncated. Optional.
+    std::function<bool(BodyFraming)> isComplete;
 };
 
 // Cancels a call in progress. Not thread-safe: use it on the client's executor.
--- a/sidecar/attempt-runner.cc
+++ b/sidecar/attempt-runner.cc
@@ -16,6 +16,9 @@
 
     // How often an attempt whose window is full checks its deadline and whether it was cancelled.
     constexpr Millis windowRecheckInterval { 100 };
+    constexpr std::string_view eventStreamType = "text/event-stream";
+    // Limits what an event without end may take.
+    constexpr size_t maxEventBytes = size_t { 256 } << 10;
 
     // Digest of the request's method, target and body, by which the ledger detects reused keys.
     std::string requestDigest(const OpenAttempt& open)
@@ -24,6 +27,14 @@
         return sha256Hex(open.method + '\n' + open.target + '\n' + open.body).substr(0, digits);
     }
 
+    // Why an answer was broken off.
+    Reason reasonForBreak(HttpFailure failure, bool endpointDied)
+    {
+        if (endpointDied)
+            return Reason::EndpointDied;
+        return failure == HttpFailure::Truncated ? Reason::Truncated : Reason::EndpointCut;
+    }
+
     // Whether the key was created so long ago that the ledger may have dropped it.
     bool isKeyExpired(std::string_view key, std::chrono::seconds retention)
     {
@@ -165,9 +176,10 @@
     HttpStreamHooks hooks;
     hooks.head = [this, attempt](unsigned status, const HeaderList& headers) { return onHead(attempt, status, headers); };
     hooks.chunk = [this, attempt](std::string_view data) { return onChunk(attempt, std::string(data)); };
+    hooks.isComplete = [attempt](BodyFraming) { return !attempt->events.isWithinEvent(); };
     const HttpResult result = co_await endpoint->stream(std::move(call), std::move(hooks));
     bool died = false;
-    if (result.failure == HttpFailure::ConnectionLost)
+    if (result.failure == HttpFailure::ConnectionLost || result.failure == HttpFailure::Truncated)
         died = co_await hasEndpointDied();
     onExecuted(attempt, result, died);
 }
@@ -177,6 +189,7 @@
     attempt->firstByte = Clock::now();
     attempt->answer.status = status;
     attempt->answer.contentType = std::string(findHeader(headers, "Content-Type"));
+    attempt->isEventStream = attempt->answer.contentType.starts_with(detail::eventStreamType);
     Frame head;
     head.kind = FrameKind::Head;
     head.value = status;
@@ -187,12 +200,13 @@
 
 Task<bool> Sidecar::State::onChunk(AttemptPtr attempt, std::string data)
 {
-    attempt->bytes += data.size();
     if (!attempt->claimKey.empty() && attempt->answer.body.size() <= settings.ledger.maxRecordedBodyBytes)
         attempt->answer.body += data;
-    Frame chunk;
-    chunk.data = std::move(data);
-    sendFrame(attempt->open.id, std::move(chunk));
+    if (attempt->isEventStream)
+        data = attempt->events.push(data);
+    if (attempt->events.remainder().size() > detail::maxEventBytes)
+        co_return false;
+    sendChunk(attempt, std::move(data));
     while (attempts.isWindowFull(attempt->open.id) && !attempt->token->isCancelled() && Clock::now() < attempt->deadline) {
         attempt->windowTimer.expires_after(detail::windowRecheckInterval);
         boost::system::error_code ignored;
@@ -201,6 +215,16 @@
     co_return true;
 }
 
+void Sidecar::State::sendChunk(const AttemptPtr& attempt, std::string data)
+{
+    if (data.empty())
+        return;
+    attempt->bytes += data.size();
+    Frame chunk;
+    chunk.data = std::move(data);
+    sendFrame(attempt->open.id, std::move(chunk));
+}
+
 void Sidecar::State::onExecuted(const AttemptPtr& attempt, const HttpResult& result, bool died)
 {
     const TimePoint now = Clock::now();
@@ -214,6 +238,8 @@
     switch (result.failure) {
     case HttpFailure::None: {
         poison.onCompleted(attempt->open.digest);
+        // Empty lines and comments after the last event.
+        sendChunk(attempt, attempt->events.remainder());
         Frame last;
         last.kind = FrameKind::End;
         last.value = attempt->bytes;
@@ -226,9 +252,10 @@
         fail(attempt, Outcome::NotRun, Reason::Unreachable);
         return;
     case HttpFailure::ConnectionLost:
+    case HttpFailure::Truncated:
         if (died)
             poison.onDeath(attempt->open.digest, now);
-        fail(attempt, Outcome::MayHaveRun, died ? Reason::EndpointDied : Reason::EndpointCut);
+        fail(attempt, Outcome::MayHaveRun, detail::reasonForBreak(result.failure, died));
         return;
     case HttpFailure::BadResponse:
         fail(attempt, Outcome::MayHaveRun, Reason::SpoiledAnswer);
--- a/sidecar/state.h
+++ b/sidecar/state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "admission/credits.h"
+#include "gateway/events.h"
 #include "gateway/http.h"
 #include "retry/poison.h"
 #include "sidecar/claims.h"
@@ -59,8 +60,11 @@
         // Wakes the reading of the answer, which pauses while the window of unacknowledged bytes
         // is full. Cancelled by each acknowledgement.
         boost::asio::steady_timer windowTimer;
-        // Body bytes of the answer so far.
+        // Body bytes of the answer sent to the entry so far.
         uint64_t bytes = 0;
+        bool isEventStream = false;
+        // Splits an event stream, so that the entry gets whole events only.
+        EventSplitter events;
         // The answer as recorded in the ledger; its body is kept only if the request was claimed.
         RecordedAnswer answer;
     };
@@ -118,6 +122,8 @@
     Task<> execute(AttemptPtr);
     Task<> onHead(AttemptPtr, unsigned status, HeaderList);
     Task<bool> onChunk(AttemptPtr, std::string);
+    // Sends a part of the answer to the entry; nothing if it is empty.
+    void sendChunk(const AttemptPtr&, std::string data);
     void onExecuted(const AttemptPtr&, const HttpResult&, bool died);
     // Ends an attempt with a Failed frame.
     void fail(const AttemptPtr&, Outcome, Reason);
