Send no chunks to callers of HTTP/1.0, and break off with a reset

A caller of HTTP/1.0 got a stream in chunks, which it does not know: it takes the chunk sizes for content, and the end of the connection for the end of the answer. So an answer that was broken off looked complete to it, since an abort closed the connection in order.

The server now sends such callers the content alone and closes the connection at its end; an abort is a reset, the only sign that tells the two apart.

--- a/gateway/server.cc
+++ b/gateway/server.cc
@@ -48,9 +48,11 @@
     // connection.
     class SocketResponder final : public Responder, public std::enable_shared_from_this<SocketResponder> {
     public:
-        SocketResponder(boost::beast::tcp_stream& stream, bool keepAlive)
+        // `acceptsChunks` is false for clients of HTTP/1.0.
+        SocketResponder(boost::beast::tcp_stream& stream, bool keepAlive, bool acceptsChunks = true)
             : m_stream(stream)
             , m_keepAlive(keepAlive)
+            , m_acceptsChunks(acceptsChunks)
         {
         }
 
@@ -69,7 +71,7 @@
 
         Task<> begin(unsigned status, const HeaderList& headers, BodyFraming framing) override
         {
-            m_endsWithConnection = framing == BodyFraming::Connection;
+            m_endsWithConnection = framing == BodyFraming::Connection || !m_acceptsChunks;
             m_keepAlive = m_keepAlive && !m_endsWithConnection;
             http::response<http::empty_body> response(static_cast<http::status>(status), 11);
             setHeaders(response, headers);
@@ -167,6 +169,7 @@
         boost::beast::tcp_stream& m_stream;
         std::function<void()> m_onDisconnect;
         bool m_keepAlive;
+        bool m_acceptsChunks;
         bool m_headSent = false;
         bool m_ended = false;
         bool m_failed = false;
@@ -246,9 +249,11 @@
             co_return false;
         }
         stream.expires_never();
+        constexpr unsigned http11 = 11;
+        const bool acceptsChunks = parser.get().version() >= http11;
         const bool keepAlive = parser.get().keep_alive() && !state->m_stopping && !state->m_closeAfterResponse;
         const HttpRequest request = toHttpRequest(parser.release());
-        auto responder = std::make_shared<SocketResponder>(stream, keepAlive);
+        auto responder = std::make_shared<SocketResponder>(stream, keepAlive, acceptsChunks);
         ++state->m_inProgress;
         co_await state->m_handler(request, *responder);
         --state->m_inProgress;
