Break off an answer that ended with its endpoint's process

An answer with neither a length nor chunks was complete for the caller if its endpoint crashed between two events, or within an answer that is no stream: the kernel closes the connections of a process that ends in order. A stream that ended so before its first event reached the caller as an empty 200.

The bytes cannot tell such an end from a whole answer, but the endpoint's fate can. The direct entry connects to it again, which replaces the connection that ended; a refusal means that no process listens. The events have been passed on by then; only the end of the answer waits, for a round trip, at most 100 ms, and a leaving endpoint is not asked. The sidecar asks its endpoint as it does after a lost connection. The end counts as evidence of a crash too. An empty stream that ends with its connection is broken off as well.

What is not told apart: a stream that a living endpoint ends between two events. It is passed on as complete, as HTTP defines it; holding it back would hold back whole answers.

--- a/direct/attempt.cc
+++ b/direct/attempt.cc
@@ -15,6 +15,9 @@
     // Added to the timeout of a call, so that an answer that the endpoint sends at the deadline still
     // arrives.
     constexpr Millis deadlineMargin { 5 };
+    // How long the end of an answer that ends with its connection may wait for the news that the
+    // endpoint's process has ended too.
+    constexpr Millis listenCheckTimeout { 100 };
     // An answer that is not a stream is kept until it is complete, so that none is passed on in part.
     constexpr size_t maxAnswerBytes = size_t { 2 } << 20;
     constexpr size_t maxEventBytes = size_t { 256 } << 10;
@@ -114,9 +117,16 @@
             job.cancelToken->cancel();
         co_return job.events.remainder().size() <= detail::maxEventBytes;
     };
-    hooks.isComplete = [&](BodyFraming) { return !isStream || !job.events.isWithinEvent(); };
-    const HttpResult callResult = co_await target->client->stream(std::move(call), std::move(hooks));
+    hooks.isComplete = [&](BodyFraming framing) {
+        const bool isEmpty = !job.streamBegun && job.events.remainder().empty();
+        return !isStream || !(job.events.isWithinEvent() || (isEmpty && framing == BodyFraming::Connection));
+    };
+    HttpResult callResult = co_await target->client->stream(std::move(call), std::move(hooks));
     silenceTimer->stop();
+    const bool mayBeCut = callResult.ok() && callResult.framing == BodyFraming::Connection && detail::isSuccess(answer.status) && !target->record.leaving;
+    const bool endpointEnded = mayBeCut && !co_await target->client->isListening(detail::listenCheckTimeout);
+    if (endpointEnded)
+        callResult.failure = HttpFailure::Truncated;
     job.framing = callResult.framing;
     dispatcher->onEnded(job.service, target->record.id, Clock::now());
     DirectAttemptResult result;
@@ -154,7 +164,7 @@
     const bool isBrokenOff = callResult.failure == HttpFailure::ConnectionLost || callResult.failure == HttpFailure::Truncated;
     if (isBrokenOff && !job.callerGone)
         crashes.onLost(target->record.id, requestDigest(request, job), Clock::now());
-    if (callResult.failure == HttpFailure::Connect)
+    if (callResult.failure == HttpFailure::Connect || endpointEnded)
         onEndpointEnded(target->record.id);
     onAttemptEnded(job, result, callResult, head);
     co_return result;
--- a/fakes/engine.cc
+++ b/fakes/engine.cc
@@ -61,7 +61,7 @@
                 co_await responder.respond(answer);
                 co_return;
             }
-            const std::string fault = m_server.consumeFault("stall slow cut unframed unframed-cut");
+            const std::string fault = m_server.consumeFault("stall slow cut unframed unframed-cut unframed-crash");
             co_await sleepFor(fault == "stall" ? stallDuration : fault == "slow" ? m_server.faultDelay()
                                                                                  : m_settings.firstTokenDelay);
             const size_t count = body.contains("max_tokens") ? body.at("max_tokens").to_number<size_t>() : 8;
@@ -95,6 +95,8 @@
                 }
                 const json::object choice { { "index", 0 }, { "delta", json::object { { "content", tokens[i] } } } };
                 const std::string data = "data: " + json::serialize(json::object { { "choices", json::array { choice } } }) + "\n\n";
+                if (fault == "unframed-crash" && i == tokens.size() / 2)
+                    std::_Exit(1);
                 if (fault == "unframed-cut" && i == tokens.size() / 2) {
                     co_await responder.chunk(std::string_view(data).substr(0, data.size() / 2));
                     co_await responder.end();
--- a/fakes/engine.h
+++ b/fakes/engine.h
@@ -4,6 +4,7 @@
 // - "slow": delays the first token by delayMs.
 // - "cut": closes the connection halfway through a stream.
 // - "unframed": sends streams with neither a length nor chunks, whose end is the end of the connection.
+// - "unframed-crash": as "unframed", but ends the process between two events.
 // - "unframed-cut": as "unframed", but ends within an event.
 #pragma once
 
--- a/fakes/replica.cc
+++ b/fakes/replica.cc
@@ -40,7 +40,7 @@
         {
             constexpr unsigned misdirected = 421;
             constexpr unsigned unavailable = 503;
-            const std::string fault = m_server.consumeFault("refuse misdirect lose cut endless fail slow extra unframed unframed-cut");
+            const std::string fault = m_server.consumeFault("refuse misdirect lose cut endless fail slow extra unframed unframed-cut unframed-crash unframed-empty");
             if (fault == "misdirect" || request.header("X-Expect-Replica") != name()) {
                 co_await reject(request, responder, misdirected);
                 co_return;
@@ -81,7 +81,13 @@
         {
             if (fault.starts_with("unframed")) {
                 co_await responder.begin(200, answerHeaders(request), BodyFraming::Connection);
+                if (fault == "unframed-empty") {
+                    co_await responder.end();
+                    co_return;
+                }
                 co_await responder.chunk("done ");
+                if (fault == "unframed-crash")
+                    std::_Exit(1);
                 if (fault == "unframed-cut") {
                     responder.abort();
                     co_return;
@@ -108,6 +114,12 @@
             co_await responder.begin(200, streamHeaders, isUnframed ? BodyFraming::Connection : BodyFraming::Chunks);
             for (int event = first; event <= m_settings.eventCount; ++event) {
                 const std::string text = "id: " + std::to_string(event) + "\ndata: token " + std::to_string(event) + "\n\n";
+                if (fault == "unframed-empty") {
+                    co_await responder.end();
+                    co_return;
+                }
+                if (fault == "unframed-crash" && event == first + 3)
+                    std::_Exit(1);
                 if (fault.ends_with("cut") && event == first + 3) {
                     co_await responder.chunk(std::string_view(text).substr(0, text.size() / 2));
                     if (isUnframed)
--- a/fakes/replica.h
+++ b/fakes/replica.h
@@ -8,6 +8,8 @@
 // - "lose": runs the request and closes the connection without an answer.
 // - "cut": closes the connection within an event of a stream.
 // - "unframed": sends answers with neither a length nor chunks, whose end is the end of the connection.
+// - "unframed-crash": as "unframed", but ends the process between two events, or halfway through another answer.
+// - "unframed-empty": as "unframed", but with an empty body.
 // - "unframed-cut": as "unframed", but ends within an event of a stream; other answers end with a reset.
 // - "fail": answers 500.
 // - "slow": delays the answer by delayMs.
--- a/gateway/client.cc
+++ b/gateway/client.cc
@@ -296,6 +296,18 @@
     co_return result;
 }
 
+Task<bool> HttpClient::isListening(Millis timeout)
+{
+    const std::shared_ptr<State> state = m_state;
+    error_code error;
+    const detail::StreamPtr stream = co_await state->connect(timeout, error);
+    if (!error) {
+        stream->m_stream.expires_never();
+        state->returnToPool(stream);
+    }
+    co_return error != asio::error::connection_refused;
+}
+
 Task<HttpResult> HttpClient::call(HttpCall call)
 {
     std::string body;
--- a/gateway/http.h
+++ b/gateway/http.h
@@ -217,6 +217,10 @@
     // empty.
     Task<HttpResult> stream(HttpCall, HttpStreamHooks);
 
+    // Opens a connection, which a later call may use. Returns false if it is refused, as it is when
+    // no process listens, and true if it is not, or if that is still unknown after the timeout.
+    Task<bool> isListening(Millis timeout);
+
 private:
     struct State;
     std::shared_ptr<State> m_state;
--- a/sidecar/attempt-runner.cc
+++ b/sidecar/attempt-runner.cc
@@ -177,10 +177,13 @@
     hooks.head = [this, attempt](unsigned status, const HeaderList& headers) { return onHead(attempt, status, headers); };
     hooks.chunk = [this, attempt](std::string_view data) { return onChunk(attempt, std::string(data)); };
     hooks.isComplete = [attempt](BodyFraming) { return !attempt->events.isWithinEvent(); };
-    const HttpResult result = co_await endpoint->stream(std::move(call), std::move(hooks));
+    HttpResult result = co_await endpoint->stream(std::move(call), std::move(hooks));
+    const bool mayBeCut = result.ok() && result.framing == BodyFraming::Connection;
     bool died = false;
-    if (result.failure == HttpFailure::ConnectionLost || result.failure == HttpFailure::Truncated)
+    if (mayBeCut || result.failure == HttpFailure::ConnectionLost || result.failure == HttpFailure::Truncated)
         died = co_await hasEndpointDied();
+    if (mayBeCut && died)
+        result.failure = HttpFailure::Truncated;
     onExecuted(attempt, result, died);
 }
 
--- a/tests/direct-failure-test.cc
+++ b/tests/direct-failure-test.cc
@@ -118,6 +118,30 @@
     }
 }
 
+TEST_CASE("direct: an answer that ends with its endpoint's process never looks complete")
+{
+    DirectCluster cluster;
+    REQUIRE(cluster.waitUntilReady());
+    for (const std::string& name : DirectCluster::endpointNames())
+        cluster.setFault(name, "unframed-crash");
+    const HttpResult broken = cluster.call("POST", "/stream/1", "t1");
+    CHECK_FALSE(broken.ok());
+    CHECK(cluster.recordsOf("t1").size() == 2);
+    CHECK(cluster.call("POST", "/once/1", "t2").status == 502);
+    CHECK(cluster.recordsOf("t2").size() == 1);
+}
+
+TEST_CASE("direct: a stream that ends with its connection before the first event never looks complete")
+{
+    DirectCluster cluster;
+    REQUIRE(cluster.waitUntilReady());
+    for (const char* name : { "m1", "m2", "m3" })
+        cluster.setFault(name, "unframed-empty", 0, 1);
+    CHECK(cluster.call("POST", "/stream/1", "u1").status == 502);
+    CHECK(cluster.recordsOf("u1").size() == 2);
+    CHECK(cluster.call("POST", "/stream/1", "u2").body == completeStream());
+}
+
 TEST_CASE("direct: an answer with neither a length nor chunks is whole unless its connection is reset")
 {
     DirectCluster cluster;
--- a/tests/endpoint-failure-test.cc
+++ b/tests/endpoint-failure-test.cc
@@ -79,6 +79,19 @@
     CHECK(verdict.resultCounts.at("completion").contains("broken"));
 }
 
+TEST_CASE("a stream that ends with its endpoint's process never looks complete")
+{
+    Cluster cluster;
+    REQUIRE(cluster.waitUntilReady());
+    const auto callers = cluster.startLoadGenerator(Millis(3000), { "--orders", "0", "--lookups", "0" });
+    std::this_thread::sleep_for(Millis(500));
+    cluster.setFault("z1-m1", "unframed-crash");
+    cluster.setFault("z2-m1", "unframed-crash");
+    REQUIRE(callers->wait(Millis(30'000)) == 0);
+    CHECK(cluster.endpoint("z1-m1").wait(Millis(1)) == 1);
+    CHECK(cluster.judge().wrongAnswers == 0);
+}
+
 TEST_CASE("a request that crashes endpoints and is sent again takes down at most three")
 {
     Cluster cluster({ 3, 2, 1, false, { "--crash-word", "CRASH" }, {}, {} });
