Log the parts of a lost request's prompt and whether its endpoint ended

A failed attempt now logs hashes of the parts of the prompt that requests may share, and whether its endpoint refused a connection right after. The latter is asked for attempts that had not begun to be answered; it counts as the end of the process at once, where the registration took up to three heartbeats.

--- a/direct/attempt.cc
+++ b/direct/attempt.cc
@@ -20,6 +20,9 @@
     constexpr Millis listenCheckTimeout { 100 };
     // An answer that is not a stream is kept until it is complete, so that none is passed on in part.
     constexpr size_t maxAnswerBytes = size_t { 2 } << 20;
+    // Chunks of events after which an endpoint has begun to answer. A crash at the first of them may
+    // still be the request's fault.
+    constexpr uint32_t answeringChunks = 2;
     constexpr size_t maxEventBytes = size_t { 256 } << 10;
 
     bool isSuccess(unsigned status)
@@ -33,6 +36,14 @@
         return status >= 500;
     }
 
+    std::string joinParts(std::span<const uint64_t> parts)
+    {
+        std::string text;
+        for (const uint64_t part : parts)
+            text += (text.empty() ? "" : " ") + std::to_string(part);
+        return text;
+    }
+
     Reason reasonFor(HttpFailure failure)
     {
         switch (failure) {
@@ -83,6 +94,7 @@
     HttpResponse answer;
     bool isStream = false;
     bool isCallerConnected = true;
+    uint32_t chunks = 0;
     TimePoint firstByteAt = sent;
     HttpStreamHooks hooks;
     const std::shared_ptr<SilenceTimer> silenceTimer = startSilenceTimer(job, target);
@@ -106,6 +118,7 @@
         const std::string events = job.events.push(bytes);
         if (events.empty() || !isCallerConnected)
             co_return job.events.remainder().size() <= detail::maxEventBytes;
+        ++chunks;
         onEvents(job, sent);
         if (!job.streamBegun) {
             job.streamBegun = true;
@@ -123,9 +136,11 @@
     };
     HttpResult callResult = co_await target->client->stream(std::move(call), std::move(hooks));
     silenceTimer->stop();
+    const bool isBrokenOff = callResult.failure == HttpFailure::ConnectionLost || callResult.failure == HttpFailure::Truncated;
     const bool mayBeCut = callResult.ok() && callResult.framing == BodyFraming::Connection && detail::isSuccess(answer.status) && !target->record.leaving;
-    const bool endpointEnded = mayBeCut && !co_await target->client->isListening(detail::listenCheckTimeout);
-    if (endpointEnded)
+    const bool mayHaveCrashed = isBrokenOff && !job.callerGone && chunks < detail::answeringChunks;
+    const bool endpointEnded = (mayBeCut || mayHaveCrashed) && !co_await target->client->isListening(detail::listenCheckTimeout);
+    if (mayBeCut && endpointEnded)
         callResult.failure = HttpFailure::Truncated;
     job.framing = callResult.framing;
     dispatcher->onEnded(job.service, target->record.id, Clock::now());
@@ -161,11 +176,11 @@
         dispatcher->health().onAnswer(target->record.id, std::chrono::duration_cast<Millis>(firstByteAt - sent), failed, Clock::now());
     if (result.outcome == Outcome::Answered && poison.size())
         poison.onCompleted(requestDigest(request, job));
-    const bool isBrokenOff = callResult.failure == HttpFailure::ConnectionLost || callResult.failure == HttpFailure::Truncated;
-    if (isBrokenOff && !job.callerGone)
+    if ((isBrokenOff || (mayBeCut && endpointEnded)) && !job.callerGone)
         crashes.onLost(target->record.id, requestDigest(request, job), Clock::now());
     if (callResult.failure == HttpFailure::Connect || endpointEnded)
         onEndpointEnded(target->record.id);
+    result.endpointEnded = endpointEnded;
     onAttemptEnded(job, result, callResult, head);
     co_return result;
 }
@@ -263,7 +278,7 @@
         dispatcher->health().onUnreachable(endpoint, now);
     metrics.count("orioletrail_answers_total", "framing=\"" + std::string(bodyFramingName(callResult.framing)) + "\",result=\"" + std::string(outcomeName(result.outcome)) + '"');
     if (result.outcome != Outcome::Answered)
-        log(LogLevel::Info, "attempt failed", { { "request", job.caller.id }, { "endpoint", endpoint }, { "status", std::to_string(callResult.status) }, { "reason", std::string(reasonName(result.reason)) }, { "run", std::string(outcomeName(result.outcome)) }, { "reused", callResult.usedPooledConnection ? "true" : "false" }, { "failedEndpoint", head.failedEndpoint }, { "lastEvent", job.events.lastId() }, { "framing", std::string(bodyFramingName(callResult.framing)) }, { "partialEventBytes", std::to_string(job.events.remainder().size()) } });
+        log(LogLevel::Info, "attempt failed", { { "request", job.caller.id }, { "endpoint", endpoint }, { "status", std::to_string(callResult.status) }, { "reason", std::string(reasonName(result.reason)) }, { "run", std::string(outcomeName(result.outcome)) }, { "reused", callResult.usedPooledConnection ? "true" : "false" }, { "failedEndpoint", head.failedEndpoint }, { "lastEvent", job.events.lastId() }, { "framing", std::string(bodyFramingName(callResult.framing)) }, { "partialEventBytes", std::to_string(job.events.remainder().size()) }, { "endpointEnded", result.endpointEnded ? "true" : "false" }, { "parts", detail::joinParts(job.caller.promptParts) } });
     dispatcher->wakeWaiting(job.service, now);
 }
 
--- a/direct/state.h
+++ b/direct/state.h
@@ -89,6 +89,8 @@
 struct DirectAttemptResult {
     Outcome outcome = Outcome::MayHaveRun;
     Reason reason = Reason::None;
+    // The endpoint's process has ended: it refuses connections.
+    bool endpointEnded = false;
     // The endpoint's answer, if it can be sent to the caller.
     std::optional<HttpResponse> answer;
 };
