--- a/fakes/replica.cc
+++ b/fakes/replica.cc
@@ -110,6 +110,10 @@
             streamHeaders.emplace_back("Content-Type", "text/event-stream");
             const std::string from(request.header("Last-Event-Id"));
             const int first = from.empty() ? 1 : std::stoi(from) + 1;
+            if (request.header("X-Prompt-Prefix").find("dead:") != std::string_view::npos) {
+                co_await sleepFor(m_settings.eventInterval);
+                std::_Exit(1);
+            }
             const bool isUnframed = fault.starts_with("unframed");
             co_await responder.begin(200, streamHeaders, isUnframed ? BodyFraming::Connection : BodyFraming::Chunks);
             for (int event = first; event <= m_settings.eventCount; ++event) {
--- a/tests/direct-failure-test.cc
+++ b/tests/direct-failure-test.cc
@@ -393,6 +393,51 @@
     CHECK(cluster.call("POST", "/once/2", "m3").status == 200);
 }
 
+TEST_CASE("direct: requests that share only the part that crashes endpoints are refused by all entries")
+{
+    constexpr int poisonCount = 9;
+    // Three requests find the part, each at two endpoints at most.
+    constexpr size_t maxCrashes = 6;
+    DirectCluster cluster;
+    cluster.startEntry(1);
+    REQUIRE(cluster.waitUntilReady());
+    REQUIRE(cluster.waitUntilReady(1));
+    const auto callWithParts = [&](const std::string& id, const std::string& parts, int entry) {
+        return cluster.call("POST", "/stream/" + id, id, { { "X-Prompt-Prefix", "5c1e:40," + parts + id + ":25" } }, entry);
+    };
+    const auto serveSound = [&](const std::string& id, int entry) { return waitUntil([&] { return callWithParts(id, "91bd:41,", entry).status == 200; }); };
+    for (int i = 0; i < 80; ++i)
+        CHECK(callWithParts("v0-" + std::to_string(i), "91bd:41,", i % 2).status == 200);
+    HttpResult last;
+    for (int i = 0; i < poisonCount; ++i) {
+        const std::string number = std::to_string(i);
+        last = callWithParts("v1-" + number, "91bd:41,dead:12,", i % 2);
+        CHECK(last.status >= 500);
+        for (const char* name : { "m1", "m2", "m3" }) {
+            if (!cluster.endpoint(name).wait(Millis(20)))
+                continue;
+            cluster.startEndpoint(name);
+            cluster.registerEndpoint(name);
+        }
+        std::this_thread::sleep_for(Millis(400));
+        CHECK(serveSound("v2-" + number, 0));
+        CHECK(serveSound("v3-" + number, 1));
+        // An entry that starts anew learns what the others know.
+        if (i == poisonCount - 3) {
+            cluster.startEntry(1);
+            REQUIRE(cluster.waitUntilReady(1));
+            std::this_thread::sleep_for(Millis(500));
+        }
+    }
+    size_t crashes = 0;
+    for (int i = 0; i < poisonCount; ++i)
+        crashes += cluster.recordsOf("v1-" + std::to_string(i)).size();
+    CHECK(crashes <= maxCrashes);
+    CHECK(last.status == 503);
+    CHECK(last.body.find("\"run\":\"not-run\"") != std::string::npos);
+    CHECK(last.body.find("poisoned") != std::string::npos);
+}
+
 TEST_CASE("direct: an entry that stood still answers truthfully when it goes on")
 {
     DirectCluster cluster;
