Refuse the part of a prompt that crashes endpoints

Cause: a crash was held against the hash of a request's whole content, so requests that differ never add up. The class: evidence keyed by more than what is at fault.

Ruled out: a request that is sent again (no refusal as poisoned in the record), and retries beyond the budget (36 in 40 s at an entry).

Each crash now leaves the parts of the requests whose answer had not begun as suspects; an answer clears its parts. A part is refused after three crashes by different requests if chance would hardly put it there, given how often it is seen otherwise. Entries add their evidence up over their status messages, and a new entry learns what is refused.

--- a/bench/bench.h
+++ b/bench/bench.h
@@ -38,6 +38,9 @@
 // takes, at several sizes. Prints a table.
 int runPlan();
 
+// Prints how a part of a prompt that crashes endpoints is found, over 50 seeds of a simulation.
+int runCrashParts();
+
 struct ExperimentOptions {
     // Path of the scenario file, in JSON.
     std::string scenarioFile;
--- a/bench/main.cc
+++ b/bench/main.cc
@@ -15,6 +15,7 @@
     CLI::App* overload = app.add_subcommand("overload", "answered and refused requests at capacity and under overload");
     CLI::App* capacity = app.add_subcommand("capacity", "cost of the control plane by role and size");
     CLI::App* plan = app.add_subcommand("plan", "planning of expert maps after shifts in expert popularity");
+    CLI::App* crashParts = app.add_subcommand("crash-parts", "finding the part of a prompt that crashes endpoints, in a simulation");
     using namespace orioletrail::bench;
     CLI::App* experiment = app.add_subcommand("experiment", "a scenario of the model, with the full dispatch policy and with each mechanism left out in turn");
     ExperimentOptions options;
@@ -36,6 +37,8 @@
         return runOverload();
     if (*plan)
         return runPlan();
+    if (*crashParts)
+        return runCrashParts();
     if (*experiment)
         return runExperiment(options);
     return *capacity ? runCapacity() : 1;
--- a/direct/attempt.cc
+++ b/direct/attempt.cc
@@ -118,7 +118,8 @@
         const std::string events = job.events.push(bytes);
         if (events.empty() || !isCallerConnected)
             co_return job.events.remainder().size() <= detail::maxEventBytes;
-        ++chunks;
+        if (++chunks == detail::answeringChunks)
+            crashParts.onAnswering(job.caller.promptParts, sent, Clock::now());
         onEvents(job, sent);
         if (!job.streamBegun) {
             job.streamBegun = true;
@@ -181,6 +182,8 @@
     if (callResult.failure == HttpFailure::Connect || endpointEnded)
         onEndpointEnded(target->record.id);
     result.endpointEnded = endpointEnded;
+    result.isAnswering = chunks >= detail::answeringChunks;
+    updateCrashParts(request, job, *target, result);
     onAttemptEnded(job, result, callResult, head);
     co_return result;
 }
@@ -230,6 +233,28 @@
     }
 }
 
+void DirectEntry::State::updateCrashParts(const HttpRequest& request, DirectJob& job, const Target& target, const DirectAttemptResult& result)
+{
+    const std::vector<uint64_t>& parts = job.caller.promptParts;
+    if (result.outcome == Outcome::NotRun || parts.empty())
+        return;
+    const TimePoint now = Clock::now();
+    if (!result.endpointEnded || result.isAnswering) {
+        crashParts.onSurvived(parts, now);
+        return;
+    }
+    ++job.crashedAttempts;
+    const uint64_t crash = hash64(target.record.id, static_cast<uint64_t>(target.record.processStartMs));
+    const uint64_t content = hash64(request.body, hash64(request.target));
+    crashParts.onCrash(crash, { content, parts }, now);
+}
+
+void DirectEntry::State::onPartRefused(PartHash part, std::optional<double> chance, size_t crashCount)
+{
+    metrics.count("orioletrail_refused_parts_total", chance ? "source=\"own\"" : "source=\"peer\"");
+    log(LogLevel::Warning, "part of prompts refused", { { "part", std::to_string(part) }, { "crashes", std::to_string(crashCount) }, { "chance", chance ? std::to_string(*chance) : "reported" } });
+}
+
 DirectAttemptResult DirectEntry::State::classifyAttempt(DirectJob& job, const HttpResult& callResult, const EndpointHead& head, std::string body)
 {
     DirectAttemptResult result;
--- a/direct/direct.cc
+++ b/direct/direct.cc
@@ -87,6 +87,7 @@
     poisonSettings.retention = detail::deathRetention;
     poisonSettings.deathMergeWindow = detail::deathMergeWindow;
     poison = PoisonRecords(poisonSettings);
+    crashParts = CrashParts({}, [this](PartHash part, std::optional<double> chance, size_t crashCount) { onPartRefused(part, chance, crashCount); });
     retries = RetryBudget({ platform.retryRatio, platform.retryWindow });
     slackShare = SlackShare({ platform.retrySlack, platform.retryWindow }, Clock::now());
     addKnownInstance(platform.instance);
@@ -287,6 +288,7 @@
     status.address = platform.address + ':' + std::to_string(platform.firstPeerPort);
     status.inFlight = dispatcher->loads().ownCounts();
     status.deaths = poison.changedSince(Clock::now() - detail::deathAnnouncementTime);
+    status.crashes = crashParts.report(Clock::now());
     status.leading = mapDriver->isLeading();
     status.stopping = stoppingSince.has_value();
     if (status.leading)
@@ -306,6 +308,7 @@
     }
     for (const auto& [digest, deaths] : status.deaths)
         poison.merge(digest, deaths, Clock::now());
+    crashParts.merge(status.crashes, Clock::now());
     const std::optional<MapLeadership> accepted = status.offer ? handover->accept(*status.offer) : std::nullopt;
     if (accepted)
         mapDriver->takeOver(*accepted);
--- a/direct/peers-test.cc
+++ b/direct/peers-test.cc
@@ -17,6 +17,8 @@
     status.stopping = true;
     status.offer = LeadershipOffer { { "entry-2", 5 }, { 65'600, 131'072 } };
     status.slowness = { { "e-1", 4.5 } };
+    status.crashes.crashes = { { 7, { { 17'000'000'000'000'000'001U, { 8, 9 } } }, { 9 }, Millis(40) } };
+    status.crashes.refused = { { 8, Millis(500) } };
     const auto read = decodePeerStatus(encodePeerStatus(status));
     REQUIRE(read);
     CHECK(read->sender == status.sender);
@@ -27,6 +29,14 @@
     CHECK(read->stopping);
     CHECK(read->offer == status.offer);
     CHECK(read->slowness == status.slowness);
+    REQUIRE(read->crashes.crashes.size() == 1);
+    CHECK(read->crashes.crashes[0].id == 7);
+    CHECK(read->crashes.crashes[0].age == Millis(40));
+    CHECK(read->crashes.crashes[0].suspects[0].request == status.crashes.crashes[0].suspects[0].request);
+    CHECK(read->crashes.crashes[0].suspects[0].parts == std::vector<PartHash> { 8, 9 });
+    CHECK(read->crashes.crashes[0].cleared == std::set<PartHash> { 9 });
+    CHECK(read->crashes.refused == status.crashes.refused);
+    CHECK(decodePeerStatus(R"({"instance":"a","run":1,"address":"x","crashes":[5,{"id":"x"},{"id":3,"suspects":[1,{"parts":"p"}]}],"refusedParts":[{}]})")->crashes.refused.empty());
     CHECK_FALSE(decodePeerStatus(""));
     CHECK_FALSE(decodePeerStatus("[]"));
     CHECK_FALSE(decodePeerStatus(R"({"instance":5,"run":1,"address":"x"})"));
--- a/direct/peers.cc
+++ b/direct/peers.cc
@@ -1,5 +1,6 @@
 #include "direct/peers.h"
 
+#include "direct/crash-report.h"
 #include "gateway/async.h"
 #include "telemetry/log.h"
 
@@ -105,6 +106,7 @@
     object["inFlight"] = detail::writeCounts(status.inFlight);
     if (!status.deaths.empty())
         object["deaths"] = detail::writeCounts(status.deaths);
+    writeCrashReport(status.crashes, object);
     if (status.leading) {
         object["leading"] = true;
         json::object slowness;
@@ -143,6 +145,7 @@
                 status.slowness.emplace(endpoint, factor.to_number<double>(error));
     detail::readCounts(*object, "inFlight", status.inFlight);
     detail::readCounts(*object, "deaths", status.deaths);
+    status.crashes = readCrashReport(*object);
     return status;
 }
 
--- a/direct/peers.h
+++ b/direct/peers.h
@@ -4,6 +4,7 @@
 
 #include "direct/handover.h"
 #include "gateway/http.h"
+#include "retry/crash-parts.h"
 #include "routing/load.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -20,6 +21,8 @@
     InFlightCounts inFlight;
     // Endpoint deaths counted for each request, by the digest of the request.
     std::map<std::string, uint32_t, std::less<>> deaths;
+    // Crashes of endpoints and the parts of prompts that are refused for them.
+    CrashReport crashes;
     // The sender leads the expert maps.
     bool leading = false;
     // The sender is shutting down.
--- a/direct/request.cc
+++ b/direct/request.cc
@@ -19,6 +19,10 @@
     // An instance that has just started learns the configuration within some hundred milliseconds.
     constexpr Millis startupRetryAfter { 500 };
     constexpr Millis rejectedRetryAfter { 200 };
+    // A part that is refused by mistake is cleared when a request that was under way is answered.
+    constexpr Millis refusedPartRetryAfter { 5000 };
+    // A request that was lost in this many crashes is not sent to another endpoint.
+    constexpr uint32_t maxCrashedAttempts = 2;
 
     DirectRefusal refusalOf(const DirectAttemptResult& result)
     {
@@ -75,7 +79,14 @@
     chooseService(job);
     if (poison.size() && poison.verdict(requestDigest(request, job), job.received) == PoisonVerdict::Refuse)
         return DirectRefusal { 422, Reason::Poisoned, Outcome::NotRun, Millis(0) };
-    return std::nullopt;
+    return refusalForParts(job, job.received);
+}
+
+std::optional<DirectRefusal> DirectEntry::State::refusalForParts(const DirectJob& job, TimePoint now) const
+{
+    if (!crashParts.isRefused(job.caller.promptParts, now))
+        return std::nullopt;
+    return DirectRefusal { 503, Reason::Poisoned, Outcome::NotRun, detail::refusedPartRetryAfter };
 }
 
 void DirectEntry::State::chooseService(DirectJob& job)
@@ -90,7 +101,9 @@
 Task<> DirectEntry::State::attemptUntilAnswered(const HttpRequest& request, Responder& responder, DirectJob& job)
 {
     while (true) {
-        const std::optional<DirectRefusal> refusal = co_await reservePlace(job);
+        std::optional<DirectRefusal> refusal = co_await reservePlace(job);
+        if (!refusal && (refusal = refusalForParts(job, Clock::now())))
+            dispatcher->cancelReservation(std::exchange(job.target, nullptr)->record.id);
         if (refusal) {
             if (job.isRetryCharged)
                 retries.refund(job.service, Clock::now());
@@ -174,6 +187,8 @@
     const bool isIdempotent = job.route->idempotency == Idempotency::Idempotent;
     if (result.outcome != Outcome::NotRun && !isIdempotent)
         return false;
+    if (job.crashedAttempts >= detail::maxCrashedAttempts || crashParts.isRefused(job.caller.promptParts, Clock::now()))
+        return false;
     if (job.streamBegun && (!job.route->resumable || job.events.lastId().empty()))
         return false;
     if (job.acceptedAttempts >= job.route->maxAttempts || job.attempts >= job.route->maxAttempts + maxExtraRejected)
--- a/direct/state.h
+++ b/direct/state.h
@@ -14,6 +14,7 @@
 #include "platform/settings.h"
 #include "retry/budget.h"
 #include "retry/crash-evidence.h"
+#include "retry/crash-parts.h"
 #include "retry/poison.h"
 #include "retry/slack-share.h"
 
@@ -63,6 +64,8 @@
     uint32_t acceptedAttempts = 0;
     // Attempts that were sent to an endpoint, which is all but those whose connection failed.
     uint32_t sentAttempts = 0;
+    // Attempts that were lost when their endpoint crashed, before it had begun to answer.
+    uint32_t crashedAttempts = 0;
     // Why the last attempt failed.
     Reason lastReason = Reason::None;
     // A retry was taken from the budget for the attempt that is next.
@@ -91,6 +94,8 @@
     Reason reason = Reason::None;
     // The endpoint's process has ended: it refuses connections.
     bool endpointEnded = false;
+    // The endpoint had begun to answer.
+    bool isAnswering = false;
     // The endpoint's answer, if it can be sent to the caller.
     std::optional<HttpResponse> answer;
 };
@@ -116,6 +121,8 @@
     Task<> handleRequest(const HttpRequest&, Responder&);
     // Finds route, account, priority, deadline and service of the request, or returns a refusal.
     std::optional<DirectRefusal> resolve(const HttpRequest&, DirectJob&);
+    // Returns a refusal if the request has a part that crashes endpoints.
+    std::optional<DirectRefusal> refusalForParts(const DirectJob&, TimePoint) const;
     // Picks one of the route's services at random, by weight.
     void chooseService(DirectJob&);
     Task<> attemptUntilAnswered(const HttpRequest&, Responder&, DirectJob&);
@@ -137,6 +144,9 @@
     std::string requestDigest(const HttpRequest&, const DirectJob&) const;
     // The endpoint's process has ended: counts a death for each request that was lost with it.
     void onEndpointEnded(const std::string& endpoint);
+    // Updates what is known of the parts of the request's prompt after an attempt.
+    void updateCrashParts(const HttpRequest&, DirectJob&, const Target&, const DirectAttemptResult&);
+    void onPartRefused(PartHash, std::optional<double> chance, size_t crashes);
     Task<DirectAttemptResult> attempt(const HttpRequest&, Responder&, DirectJob&);
     // Determines outcome and reason of an attempt whose answer was not streamed whole.
     DirectAttemptResult classifyAttempt(DirectJob&, const HttpResult&, const EndpointHead&, std::string body);
@@ -210,6 +220,7 @@
     std::unique_ptr<Dispatcher> dispatcher;
     PoisonRecords poison;
     CrashEvidence crashes;
+    CrashParts crashParts;
     RetryBudget retries;
     SlackShare slackShare;
     // The share of the retry slack that is in use.
