Scan each byte of a stream once for the end of events

Since events may end with any kind of line, the splitter searched all bytes of an incomplete event again at each read.

The splitter now keeps how far it has searched.

--- a/gateway/events.cc
+++ b/gateway/events.cc
@@ -1,5 +1,6 @@
 #include "gateway/events.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace orioletrail {
@@ -24,21 +25,6 @@
         return line;
     }
 
-    // Returns the offset just past the last empty line, or 0 if there is none.
-    size_t endOfLastEvent(std::string_view text)
-    {
-        // The LF that belongs to this CR may still arrive.
-        if (text.ends_with('\r'))
-            text.remove_suffix(1);
-        size_t end = 0;
-        for (std::string_view rest = text; !rest.empty();) {
-            const Line line = takeLine(rest);
-            if (line.isEnded && line.text.empty())
-                end = text.size() - rest.size();
-        }
-        return end;
-    }
-
     // Sets `id` to the value of the last "id" field in `events`; leaves it unchanged if there is
     // none.
     void updateLastId(std::string_view events, std::string& id)
@@ -60,15 +46,33 @@
 std::string EventSplitter::push(std::string_view bytes)
 {
     m_pending += bytes;
-    const size_t end = detail::endOfLastEvent(m_pending);
-    if (!end)
-        return {};
-    std::string complete = m_pending.substr(0, end);
-    m_pending.erase(0, end);
+    size_t endOfEvents = 0;
+    for (m_scanned = m_pending.find_first_of("\r\n", m_scanned); m_scanned < m_pending.size(); m_scanned = m_pending.find_first_of("\r\n", m_scanned)) {
+        const bool isCr = m_pending[m_scanned] == '\r';
+        // The LF that belongs to this CR may still arrive.
+        if (isCr && m_scanned + 1 == m_pending.size())
+            break;
+        const bool isEmptyLine = m_scanned == m_lineStart;
+        m_scanned += isCr && m_pending[m_scanned + 1] == '\n' ? 2 : 1;
+        m_lineStart = m_scanned;
+        if (isEmptyLine)
+            endOfEvents = m_scanned;
+    }
+    m_scanned = std::min(m_scanned, m_pending.size());
+    std::string complete = m_pending.substr(0, endOfEvents);
+    m_pending.erase(0, endOfEvents);
+    m_scanned -= endOfEvents;
+    m_lineStart -= endOfEvents;
     detail::updateLastId(complete, m_lastId);
     return complete;
 }
 
+void EventSplitter::dropRemainder()
+{
+    m_pending.clear();
+    m_scanned = m_lineStart = 0;
+}
+
 bool EventSplitter::isWithinEvent() const
 {
     bool isWithin = false;
--- a/gateway/events.h
+++ b/gateway/events.h
@@ -21,13 +21,16 @@
 
     // Discards the incomplete event, since an endpoint that takes over the stream sends it from its
     // beginning.
-    void dropRemainder() { m_pending.clear(); }
+    void dropRemainder();
 
     // The most recent "id" field among all complete events, or an empty string if none had one.
     const std::string& lastId() const { return m_lastId; }
 
 private:
     std::string m_pending;
+    // Offset in m_pending before which all line ends are known, and that of the line it is in.
+    size_t m_scanned = 0;
+    size_t m_lineStart = 0;
     std::string m_lastId;
 };
 
