Keep what is known when the store is back from an older copy

In a drill the store may come back from a copy some seconds old; what was written since is gone, revisions are given out again, and the header Store-Era rises. The stand-in store can do so now. On the code before, the test shows a draining endpoint, a removed one and one in a closed zone get requests again, and the registration of an entry stays lost.

Cause: the older copy was taken for news. The client of the store now notes the era of each answer. When it rises:

- until the end of the grace period a list brings back no removed endpoint, no former process and no ready state of a process that leaves, missing endpoints have time to register, and closed zones stay closed;
- entries register again; a sidecar, which makes no calls, checks its registration 20 s after it registered;
- the number of a lease has the era above the revision, so fencing tokens and map versions only rise.

Configurations never went back, and do not now. Not done: the ledger of idempotency keys, whose claims of the last seconds are lost with the copy, and the configuration of entries behind sidecars, which compares revisions.

--- a/direct/direct.cc
+++ b/direct/direct.cc
@@ -97,6 +97,10 @@
     });
     registry = std::make_unique<InstanceRegistry>(*store);
     watcher = std::make_unique<StoreWatcher>(controlIo.get_executor(), *store, *keeper);
+    store->onEraChanged([this](uint64_t) {
+        watcher->onStoreRestored();
+        asio::co_spawn(controlIo, rejoinPeers(), asio::detached);
+    });
     auto refuseInvalid = [this](unsigned status, Reason refusalReason) {
         metrics.countRefusal(refusalReason, Outcome::NotRun);
         return refusalAnswer("", { status, refusalReason, Outcome::NotRun, Millis(0) });
@@ -159,16 +163,33 @@
         entries = co_await registry->list(std::string(entryKind));
     }
     asio::post(traffic, [this, isNew, entries = std::move(*entries)] {
-        for (const RegisteredInstance& entry : entries) {
-            addKnownInstance(entry.name);
-            peers->addPeer(entry.address);
-        }
+        addPeers(entries);
         const TimePoint now = Clock::now();
         slackShare.onRegistered(isNew, now);
         updateSlackShare(now);
     });
 }
 
+Task<> DirectEntry::State::rejoinPeers()
+{
+    if (!platform.firstPeerPort)
+        co_return;
+    const std::string address = platform.address + ':' + std::to_string(platform.firstPeerPort);
+    RegisteredInstance self { platform.instance, address, {} };
+    co_await registry->add(std::string(entryKind), std::move(self));
+    auto entries = co_await registry->list(std::string(entryKind));
+    if (entries)
+        asio::post(traffic, [this, entries = std::move(*entries)] { addPeers(entries); });
+}
+
+void DirectEntry::State::addPeers(std::span<const RegisteredInstance> entries)
+{
+    for (const RegisteredInstance& entry : entries) {
+        addKnownInstance(entry.name);
+        peers->addPeer(entry.address);
+    }
+}
+
 void DirectEntry::State::addKnownInstance(std::string_view name)
 {
     slackShare.onInstance(name);
--- a/direct/keeper.cc
+++ b/direct/keeper.cc
@@ -82,6 +82,12 @@
             return false;
         }
 
+        bool apply(const StoreRestored&)
+        {
+            m_state.onStoreRestored(Clock::now());
+            return false;
+        }
+
         bool apply(const ExpiryTick&) { return m_state.expire(Clock::now()); }
 
         std::function<void(DirectorySnapshot)> m_onChange;
--- a/direct/keeper.h
+++ b/direct/keeper.h
@@ -40,7 +40,10 @@
 // Drops endpoints whose grace period has passed. Sent at regular intervals.
 struct ExpiryTick { };
 
-using DirectoryUpdate = std::variant<CatalogUpdate, EndpointListUpdate, EndpointUpdate, EndpointRemoval, ClosedZonesUpdate, StoreAvailability, ExpiryTick>;
+// The store has come back from an older copy.
+struct StoreRestored { };
+
+using DirectoryUpdate = std::variant<CatalogUpdate, EndpointListUpdate, EndpointUpdate, EndpointRemoval, ClosedZonesUpdate, StoreAvailability, StoreRestored, ExpiryTick>;
 
 // Owns the directory state and applies updates to them, one by one, on the actor's thread.
 class DirectoryKeeper {
--- a/direct/registry.cc
+++ b/direct/registry.cc
@@ -11,6 +11,8 @@
 namespace detail {
 
     constexpr std::string_view leaseKind = "orioletrail-leases";
+    // Bits of a lease's number that hold the revision; those above hold the era.
+    constexpr unsigned revisionBits = 32;
     constexpr Millis minRegisterDelay { 50 };
     constexpr Millis maxRegisterDelay { 400 };
 
@@ -49,6 +51,12 @@
     co_return *isNew;
 }
 
+Task<bool> InstanceRegistry::isRegistered(std::string kind, std::string name)
+{
+    const StoreReply reply = co_await m_store.get(std::move(kind), std::move(name));
+    co_return reply.status != StoreStatus::NotFound;
+}
+
 Task<std::optional<std::vector<RegisteredInstance>>> InstanceRegistry::list(std::string kind)
 {
     const StoreListing listing = co_await m_store.list(kind);
@@ -76,9 +84,9 @@
         written.status = held.status;
     log(LogLevel::Info, "tried to acquire lease", { { "lease", lease }, { "status", std::string(storeStatusName(written.status)) }, { "revision", std::to_string(written.object.revision) } });
     // The write changed nothing if its revision is not new.
-    if (written.status != StoreStatus::Ok || written.object.revision <= held.object.revision)
+    if (written.status != StoreStatus::Ok || written.era != held.era || written.object.revision <= held.object.revision)
         co_return std::nullopt;
-    co_return written.object.revision;
+    co_return (written.era << detail::revisionBits) + written.object.revision;
 }
 
 } // namespace orioletrail
--- a/direct/registry.h
+++ b/direct/registry.h
@@ -25,11 +25,14 @@
     // true if the instance had never been registered before, false if it had or that is not known.
     Task<bool> add(std::string kind, RegisteredInstance);
 
+    // False if the store answers that the instance is not registered.
+    Task<bool> isRegistered(std::string kind, std::string name);
+
     // All registered instances of a kind, or nothing if the store does not answer.
     Task<std::optional<std::vector<RegisteredInstance>>> list(std::string kind);
 
-    // Makes `instance` the holder of the lease, whoever held it before. Returns the store revision
-    // of the write, which is higher than that of every earlier holder. Returns nothing if another
+    // Makes `instance` the holder of the lease, whoever held it before. Returns a number that is
+    // higher than that of every earlier holder, made of the store's era and the revision of the write. Returns nothing if another
     // instance wrote at the same time or the outcome of the write is unknown.
     Task<std::optional<uint64_t>> acquireLease(std::string lease, std::string instance);
 
--- a/direct/sidecar.cc
+++ b/direct/sidecar.cc
@@ -1,5 +1,6 @@
 #include "direct/sidecar.h"
 
+#include "gateway/async.h"
 #include "telemetry/log.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -9,6 +10,13 @@
 
 namespace asio = boost::asio;
 
+namespace detail {
+
+    // Longer than a copy from which the store comes back is old.
+    constexpr Millis registrationCheckDelay { 20'000 };
+
+} // namespace detail
+
 EngineSidecar::EngineSidecar(EngineSidecarSettings settings)
     : m_settings(std::move(settings))
 {
@@ -69,7 +77,13 @@
 Task<> EngineSidecar::registerSelf()
 {
     RegisteredInstance self { m_platform.instance, m_platform.address + ':' + std::to_string(m_platform.firstPeerPort), m_platform.engineService };
-    co_await m_registry->add(std::string(sidecarKind), std::move(self));
+    // A store that comes back from an older copy may have lost a registration that is younger.
+    bool isOldEnough = false;
+    while (!isOldEnough) {
+        co_await m_registry->add(std::string(sidecarKind), self);
+        co_await sleepFor(detail::registrationCheckDelay);
+        isOldEnough = co_await m_registry->isRegistered(std::string(sidecarKind), self.name);
+    }
 }
 
 Task<> EngineSidecar::forward(const HttpRequest& request, Responder& responder)
--- a/direct/state.h
+++ b/direct/state.h
@@ -166,6 +166,9 @@
     // Registers this entry in the store and adds all registered entries as peers. Runs on the control
     // thread.
     Task<> joinPeers();
+    // Registers this entry again after the store has come back from an older copy, which may lack it.
+    Task<> rejoinPeers();
+    void addPeers(std::span<const RegisteredInstance>);
     // Counts an instance that is registered or was heard in the limits that all instances share.
     void addKnownInstance(std::string_view name);
     // Applies a change of this process's share of the retry slack to the retry budget.
--- a/direct/watcher.cc
+++ b/direct/watcher.cc
@@ -17,6 +17,9 @@
     constexpr Millis minRetryDelay { 50 };
     // Also bounds how late the return of the store is noticed.
     constexpr Millis maxRetryDelay { 400 };
+    // Added to the grace period after the store has come back from an older copy; then all kinds are
+    // listed again.
+    constexpr Millis listAgainMargin { 300 };
 
 } // namespace detail
 
@@ -56,18 +59,31 @@
         if (listing.status == StoreStatus::Ok) {
             retryDelay = detail::minRetryDelay;
             kind.onList(listing);
-            co_await watchFrom(kind, listing.revision);
+            co_await watchFrom(kind, listing.revision, listing.era);
         }
         co_await sleepFor(withJitter(retryDelay));
         retryDelay = std::min(retryDelay * 2, detail::maxRetryDelay);
     }
 }
 
-Task<> StoreWatcher::watchFrom(const WatchedKind& kind, uint64_t revision)
+void StoreWatcher::onStoreRestored()
+{
+    m_restoredAt = Clock::now();
+    m_keeper.send(StoreRestored {});
+    asio::co_spawn(m_executor, listAgainAfterGrace(), asio::detached);
+}
+
+Task<> StoreWatcher::listAgainAfterGrace()
+{
+    co_await sleepFor(DirectoryState::reregistrationGrace + detail::listAgainMargin);
+    m_store.cancelWatches();
+}
+
+Task<> StoreWatcher::watchFrom(const WatchedKind& kind, uint64_t revision, uint64_t era)
 {
     while (true) {
         const StoreListing changes = co_await m_store.watch(kind.name, revision, detail::watchTimeout);
-        if (changes.status != StoreStatus::Ok) {
+        if (changes.status != StoreStatus::Ok || changes.era != era) {
             log(LogLevel::Info, "watch ended", { { "kind", kind.name }, { "status", std::string(storeStatusName(changes.status)) }, { "revision", std::to_string(revision) } });
             co_return;
         }
@@ -120,7 +136,9 @@
 
 void StoreWatcher::onClosedZones(const StoreListing& listing, bool isFullList)
 {
-    std::set<std::string, std::less<>> zones = isFullList ? std::set<std::string, std::less<>>() : m_closedZones;
+    // An older copy may lack a zone that operators have closed since; they write it again.
+    const bool mayBeOld = m_restoredAt && Clock::now() - *m_restoredAt < DirectoryState::reregistrationGrace;
+    std::set<std::string, std::less<>> zones = isFullList && !mayBeOld ? std::set<std::string, std::less<>>() : m_closedZones;
     for (const StoredObject& object : listing.objects) {
         if (object.deleted)
             zones.erase(object.name);
--- a/direct/watcher.h
+++ b/direct/watcher.h
@@ -14,6 +14,10 @@
     // Starts watching. Continues for as long as the executor runs.
     void start();
 
+    // The store has come back from an older copy: lists all kinds again, at once and after the grace
+    // period.
+    void onStoreRestored();
+
 private:
     // A kind of objects in the store, and what to do with a full list of them and with changes.
     struct WatchedKind {
@@ -25,7 +29,9 @@
     // Lists the kind and watches it from there; starts over when the watch fails.
     Task<> listAndWatch(WatchedKind);
     // Returns when the watch fails.
-    Task<> watchFrom(const WatchedKind&, uint64_t revision);
+    Task<> listAgainAfterGrace();
+    // Returns when the watch fails or the store is in another era.
+    Task<> watchFrom(const WatchedKind&, uint64_t revision, uint64_t era);
     void setStoreAvailable(bool isAvailable);
     void onConfiguration(const StoredObject&);
     std::optional<EndpointRecord> parseEndpoint(const StoredObject&);
@@ -38,6 +44,8 @@
     StoreClient& m_store;
     DirectoryKeeper& m_keeper;
     std::set<std::string, std::less<>> m_closedZones;
+    // When the store last came back from an older copy.
+    std::optional<TimePoint> m_restoredAt;
     // Whether the latest list call succeeded; unset before the first.
     std::optional<bool> m_isStoreAvailable;
 };
--- a/directory/beliefs-test.cc
+++ b/directory/beliefs-test.cc
@@ -88,3 +88,27 @@
         CHECK(state.snapshot().endpoints.contains("b"));
     }
 }
+
+TEST_CASE("a store that is back from an older copy brings back no removed or former process, and none that leaves")
+{
+    DirectoryState state = makeState();
+    EndpointRecord restarted = makeEndpoint("b");
+    restarted.processStartMs = 5;
+    state.onEndpointChanged(restarted, start);
+    state.onEndpointRemoved("a", start);
+    state.onStoreRestored(start);
+    state.onEndpointsListed({ makeEndpoint("a"), makeEndpoint("b"), makeEndpoint("c") }, start);
+    CHECK_FALSE(state.snapshot().endpoints.contains("a"));
+    CHECK(state.snapshot().endpoints.at("b").processStartMs == 5);
+    CHECK(state.snapshot().endpoints.at("c").leaving);
+    // Endpoints that the copy lacks have time to register again.
+    state.onEndpointsListed({}, start);
+    CHECK(state.snapshot().endpoints.contains("b"));
+    const TimePoint later = start + DirectoryState::reregistrationGrace;
+    state.expire(later);
+    CHECK_FALSE(state.snapshot().endpoints.contains("b"));
+    // After the grace period the store's word counts again.
+    state.onEndpointsListed({ makeEndpoint("a"), makeEndpoint("c") }, later);
+    CHECK(state.snapshot().endpoints.contains("a"));
+    CHECK_FALSE(state.snapshot().endpoints.at("c").leaving);
+}
--- a/directory/beliefs.cc
+++ b/directory/beliefs.cc
@@ -2,6 +2,13 @@
 
 namespace orioletrail {
 
+namespace detail {
+
+    // Longer than a copy from which the store comes back is old.
+    constexpr Millis removedRetention { 60'000 };
+
+} // namespace detail
+
 bool DirectoryState::onCatalog(Catalog catalog)
 {
     if (m_catalog && catalog.version() <= m_catalog->version())
@@ -22,16 +29,24 @@
         unlisted.insert(id);
     for (EndpointRecord& record : listed) {
         unlisted.erase(record.id);
-        onEndpointChanged(std::move(record), now);
+        if (!isRemovedSinceCopy(record, now))
+            onEndpointChanged(std::move(record), now);
     }
     for (const std::string& id : unlisted)
         onEndpointRemoved(id, now);
     m_hasEndpointList = true;
 }
 
-void DirectoryState::onEndpointChanged(EndpointRecord record, TimePoint)
+void DirectoryState::onEndpointChanged(EndpointRecord record, TimePoint now)
 {
     m_unconfirmed.erase(record.id);
+    m_removed.erase(record.id);
+    const auto known = m_endpoints.find(record.id);
+    if (known != m_endpoints.end() && mayBeOld(now)) {
+        if (record.processStartMs < known->second.processStartMs)
+            return;
+        record.leaving = record.leaving || (known->second.leaving && record.processStartMs == known->second.processStartMs);
+    }
     const std::string id = record.id;
     m_endpoints.insert_or_assign(id, std::move(record));
 }
@@ -44,7 +59,30 @@
     if (isInGrace(now) && !found->second.leaving)
         m_unconfirmed.insert(found->first);
     else
-        m_endpoints.erase(found);
+        remove(id, now);
+}
+
+bool DirectoryState::mayBeOld(TimePoint now) const
+{
+    return m_restoredGraceEnd && now < *m_restoredGraceEnd;
+}
+
+void DirectoryState::remove(std::string_view id, TimePoint now)
+{
+    std::erase_if(m_removed, [&](const auto& item) { return now - item.second.removed > detail::removedRetention; });
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end())
+        return;
+    m_removed.insert_or_assign(found->first, RemovedProcess { found->second.processStartMs, now });
+    m_endpoints.erase(found);
+}
+
+bool DirectoryState::isRemovedSinceCopy(const EndpointRecord& record, TimePoint now) const
+{
+    if (!mayBeOld(now))
+        return false;
+    const auto removed = m_removed.find(record.id);
+    return removed != m_removed.end() && record.processStartMs <= removed->second.processStartMs;
 }
 
 void DirectoryState::onClosedZones(std::set<std::string, std::less<>> zones)
@@ -65,12 +103,17 @@
     m_graceEnd = now + reregistrationGrace;
 }
 
+void DirectoryState::onStoreRestored(TimePoint now)
+{
+    m_restoredGraceEnd = m_graceEnd = now + reregistrationGrace;
+}
+
 bool DirectoryState::expire(TimePoint now)
 {
     if (isInGrace(now) || m_unconfirmed.empty())
         return false;
     for (const std::string& id : m_unconfirmed)
-        m_endpoints.erase(id);
+        remove(id, now);
     m_unconfirmed.clear();
     return true;
 }
--- a/directory/beliefs.h
+++ b/directory/beliefs.h
@@ -48,7 +48,8 @@
     // onEndpointRemoved().
     void onEndpointsListed(std::vector<EndpointRecord>, TimePoint);
 
-    // An endpoint registered or changed its record.
+    // An endpoint registered or changed its record. While the store may still hold an older copy, a
+    // record of an earlier process is ignored, and a process that is leaving stays so.
     void onEndpointChanged(EndpointRecord, TimePoint);
 
     // The endpoint deregistered, or the store dropped it after a long silence. It is removed at once,
@@ -63,6 +64,10 @@
     void onStoreLost(TimePoint);
     void onStoreReturned(TimePoint);
 
+    // The store has come back from an older copy. Starts the grace period. Until its end, endpoints
+    // that were removed before are not taken from a list, since the copy may still hold them.
+    void onStoreRestored(TimePoint);
+
     // Removes the endpoints that have not registered again by the end of the grace period. Returns
     // whether any were removed.
     bool expire(TimePoint);
@@ -74,6 +79,17 @@
 
 private:
     bool isInGrace(TimePoint) const;
+    // True while what the store holds may be older than what it held before.
+    bool mayBeOld(TimePoint) const;
+    // True if the process was removed and the store's list may be older than that.
+    bool isRemovedSinceCopy(const EndpointRecord&, TimePoint) const;
+    void remove(std::string_view id, TimePoint);
+
+    // The last process of an endpoint that was removed.
+    struct RemovedProcess {
+        uint64_t processStartMs = 0;
+        TimePoint removed;
+    };
 
     std::shared_ptr<const Catalog> m_catalog;
     std::map<std::string, EndpointRecord, std::less<>> m_endpoints;
@@ -83,6 +99,8 @@
     bool m_hasEndpointList = false;
     bool m_storeUnreachable = false;
     std::optional<TimePoint> m_graceEnd;
+    std::optional<TimePoint> m_restoredGraceEnd;
+    std::map<std::string, RemovedProcess, std::less<>> m_removed;
 };
 
 } // namespace orioletrail
--- a/fakes/platform.cc
+++ b/fakes/platform.cc
@@ -28,6 +28,14 @@
         std::string name;
     };
 
+    // A write with the state before it.
+    struct Write {
+        TimePoint at;
+        ObjectPath path;
+        StoredObject before;
+        uint64_t revisionBefore = 0;
+    };
+
     ObjectPath parsePath(std::string_view path)
     {
         const size_t slash = std::min(path.find('/'), path.size());
@@ -68,6 +76,12 @@
         Task<> handle(const HttpRequest& request, Responder& responder)
         {
             constexpr std::string_view objectsPrefix = "/orioletrail/objects/";
+            if (request.path() == "/restore") {
+                restore(Millis(parseNumber(request.query("age_ms"))));
+                const HttpResponse answer = jsonAnswer(200, { { "era", m_era }, { "revision", m_revision } });
+                co_await responder.respond(answer);
+                co_return;
+            }
             if (request.path() == "/record") {
                 const HttpResponse answer = jsonAnswer(200, { { "reads", m_reads }, { "writes", m_writes }, { "revision", m_revision } });
                 co_await responder.respond(answer);
@@ -92,6 +106,7 @@
                 else
                     answer = list(request, path);
             }
+            answer.headers.emplace_back("Store-Era", std::to_string(m_era));
             if (fault == "drop") {
                 m_server.writeRecord({ { "what", "dropped" } });
                 responder.abort();
@@ -100,6 +115,24 @@
             }
         }
 
+        // Undoes all writes of the last `age`. Later writes get the revisions of those again.
+        void restore(Millis age)
+        {
+            const TimePoint since = Clock::now() - age;
+            while (!m_history.empty() && m_history.back().at >= since) {
+                Write& last = m_history.back();
+                m_revision = last.revisionBefore;
+                ObjectMap& kind = m_objectsByKind[last.path.kind];
+                if (last.before.revision)
+                    kind[last.path.name] = std::move(last.before);
+                else
+                    kind.erase(last.path.name);
+                m_history.pop_back();
+            }
+            ++m_era;
+            m_server.writeRecord({ { "what", "restored" }, { "era", m_era }, { "revision", m_revision } });
+        }
+
         HttpResponse read(const ObjectPath& path)
         {
             ++m_reads;
@@ -134,6 +167,7 @@
 
         void updateObject(const ObjectPath& path, StoredObject& stored, bool deleted, const json::object& body)
         {
+            m_history.push_back({ Clock::now(), path, stored, m_revision });
             stored.revision = ++m_revision;
             stored.created = stored.created && !stored.deleted ? stored.created : stored.revision;
             stored.deleted = deleted;
@@ -173,11 +207,15 @@
             ++m_reads;
             const uint64_t since = parseNumber(request.query("watch"));
             const TimePoint until = Clock::now() + Millis(parseNumber(request.query("wait_ms")));
+            constexpr unsigned gone = 410;
+            const uint64_t era = m_era;
             json::array events = eventsSince(path.kind, since);
-            while (events.empty() && Clock::now() < until) {
+            while (events.empty() && era == m_era && since <= m_revision && Clock::now() < until) {
                 co_await sleepFor(pollInterval);
                 events = eventsSince(path.kind, since);
             }
+            if (era != m_era || since > m_revision)
+                co_return jsonAnswer(gone, {});
             co_return jsonAnswer(200, { { "events", std::move(events) }, { "at", m_revision } });
         }
 
@@ -186,6 +224,10 @@
         std::map<std::string, ObjectMap> m_objectsByKind;
         // Revision of the last write. The first is 1, as 0 marks an object that was never written.
         uint64_t m_revision = 0;
+        // All writes, in order.
+        std::vector<Write> m_history;
+        // Number of times that the store has come back from an older copy, plus 1.
+        uint64_t m_era = 1;
         uint64_t m_reads = 0;
         uint64_t m_writes = 0;
     };
--- a/fakes/platform.h
+++ b/fakes/platform.h
@@ -2,6 +2,8 @@
 // - "down": closes the connection of every call without running it.
 // - "slow": delays calls by delayMs.
 // - "drop": runs a write and closes the connection without an answer.
+// POST /restore?age_ms=N replaces all objects and the revision by a copy that is N ms old and raises the era, which all
+// answers hold in the header Store-Era. A watch from a revision that the copy lacks gets 410.
 #pragma once
 
 #include "fakes/fake.h"
--- a/tests/direct-cluster.cc
+++ b/tests/direct-cluster.cc
@@ -174,7 +174,9 @@
     body["metadata"] = std::move(metadata);
     body["spec"] = std::move(content);
     const std::string base = "/orioletrail/objects/" + kind;
-    const HttpResult result = callOnce(localAddress(m_basePort), { exists ? "PUT" : "POST", exists ? base + '/' + name : base, {}, json::serialize(body) });
+    HttpResult result = callOnce(localAddress(m_basePort), { exists ? "PUT" : "POST", exists ? base + '/' + name : base, {}, json::serialize(body) });
+    if (result.status == 404)
+        result = callOnce(localAddress(m_basePort), { "POST", base, {}, json::serialize(body) });
     exists = result.status == 200 ? 1 : 0;
 }
 
@@ -184,6 +186,16 @@
     callOnce(localAddress(m_basePort), { "DELETE", "/orioletrail/objects/" + kind + '/' + name, {}, {} });
 }
 
+void DirectCluster::restoreStore(Millis age)
+{
+    callOnce(localAddress(m_basePort), { "POST", "/restore?age_ms=" + std::to_string(age.count()), {}, {} });
+}
+
+std::string DirectCluster::listObjects(const std::string& kind)
+{
+    return callOnce(localAddress(m_basePort), { "GET", "/orioletrail/objects/" + kind, {}, {} }).body;
+}
+
 void DirectCluster::registerEndpoint(const std::string& name, const std::string& state)
 {
     json::object content { { "service", name.starts_with('m') ? "model" : "print" }, { "addr", localAddress(endpointPort(name)) }, { "zone", zoneOf(name) },
--- a/tests/direct-cluster.h
+++ b/tests/direct-cluster.h
@@ -50,6 +50,10 @@
     void putObject(const std::string& kind, const std::string& name, boost::json::value content);
     void removeObject(const std::string& kind, const std::string& name);
     void registerEndpoint(const std::string& name, const std::string& state = "ready");
+    // Replaces the store's content by a copy of this age.
+    void restoreStore(Millis age);
+    // The store's answer to a request for all objects of a kind, as JSON.
+    std::string listObjects(const std::string& kind);
     void putConfiguration(uint64_t version, const std::string& key = "key-1", const std::string& lookupPrefix = "/lookup/");
 
     // Injects a fault into an endpoint, or into the store if `name` is "store". The header of the stand-in lists its
--- a/tests/direct-failure-test.cc
+++ b/tests/direct-failure-test.cc
@@ -438,6 +438,50 @@
     CHECK(last.body.find("poisoned") != std::string::npos);
 }
 
+TEST_CASE("direct: a store that is back from an older copy takes nothing back and loses no entry")
+{
+    DirectCluster cluster;
+    REQUIRE(cluster.waitUntilReady());
+    std::this_thread::sleep_for(Millis(1000));
+    const TimePoint copied = Clock::now();
+    std::this_thread::sleep_for(Millis(100));
+    cluster.startEntry(1);
+    REQUIRE(cluster.waitUntilReady(1));
+    cluster.putConfiguration(2, "key-2");
+    cluster.registerEndpoint("m1", "draining");
+    cluster.removeObject("servers", "p1");
+    cluster.putObject("evacuations", "z2", boost::json::object());
+    const HeaderList key { { "Authorization", "Token key-2" } };
+    for (const int entry : { 0, 1 })
+        REQUIRE(waitUntil([&] { return cluster.call("GET", "/lookup/1", "w0", key, entry).status == 200; }));
+    std::this_thread::sleep_for(Millis(300));
+    REQUIRE(waitUntil([&] { return cluster.listObjects("orioletrail-entries").find("entry-2") != std::string::npos; }));
+    cluster.restoreStore(std::chrono::duration_cast<Millis>(Clock::now() - copied));
+    REQUIRE(cluster.listObjects("evacuations").find("z2") == std::string::npos);
+    const auto before = cluster.runsByEndpoint();
+    const TimePoint until = Clock::now() + Millis(1000);
+    for (int i = 0; Clock::now() < until; ++i) {
+        const std::string number = std::to_string(i);
+        CHECK(cluster.call("POST", "/stream/1", "w1-" + number, key, i % 2).status == 200);
+        CHECK(cluster.call("GET", "/lookup/1", "w2-" + number, key, i % 2).status == 200);
+        CHECK(cluster.call("GET", "/lookup/1", "w3-" + number, {}, i % 2).status == 401);
+    }
+    // Draining, removed, and in a closed zone.
+    auto after = cluster.runsByEndpoint();
+    for (const char* name : { "m1", "m3", "p1" })
+        CHECK(after[name] == (before.contains(name) ? before.at(name) : 0));
+    // Operators and endpoints write again what was lost, and go on.
+    cluster.putObject("evacuations", "z2", boost::json::object());
+    cluster.registerEndpoint("m1", "draining");
+    cluster.putConfiguration(2, "key-2");
+    cluster.putConfiguration(3, "key-3");
+    const TimePoint written = Clock::now();
+    for (const int entry : { 0, 1 })
+        CHECK(waitUntil([&] { return cluster.call("GET", "/lookup/1", "w4", { { "Authorization", "Token key-3" } }, entry).status == 200; }));
+    CHECK(Clock::now() - written < Millis(2000));
+    CHECK(waitUntil([&] { return cluster.listObjects("orioletrail-entries").find("entry-2") != std::string::npos; }));
+}
+
 TEST_CASE("direct: an entry that stood still answers truthfully when it goes on")
 {
     DirectCluster cluster;
