Break off a stream whose endpoint has restarted meanwhile

Where a stream ends with its connection the entry now asks for the start of the endpoint's process too, in its report, and compares it with the registration. That is one request of a kind that needs no slot, for such streams only.

An answer that is no stream is not asked about; there a restart while the entry stands still stays unseen.

--- a/direct/attempt.cc
+++ b/direct/attempt.cc
@@ -1,6 +1,7 @@
 // Sends a request to one endpoint and forwards the answer.
 #include "base/digest.h"
 #include "direct/state.h"
+#include "platform/engine.h"
 #include "telemetry/log.h"
 
 namespace orioletrail {
@@ -15,7 +16,7 @@
     // Added to the timeout of a call, so that an answer that the endpoint sends at the deadline still
     // arrives.
     constexpr Millis deadlineMargin { 5 };
-    // How long the end of an answer that ends with its connection may wait for the news that the
+    // How long the end of an answer that ends with its connection may wait for each sign that the
     // endpoint's process has ended too.
     constexpr Millis listenCheckTimeout { 100 };
     // An answer that is not a stream is kept until it is complete, so that none is passed on in part.
@@ -140,7 +141,7 @@
     const bool isBrokenOff = callResult.failure == HttpFailure::ConnectionLost || callResult.failure == HttpFailure::Truncated;
     const bool mayBeCut = callResult.ok() && callResult.framing == BodyFraming::Connection && detail::isSuccess(answer.status) && !target->record.leaving;
     const bool mayHaveCrashed = isBrokenOff && !job.callerGone && chunks < detail::answeringChunks;
-    const bool endpointEnded = (mayBeCut || mayHaveCrashed) && !co_await target->client->isListening(detail::listenCheckTimeout);
+    const bool endpointEnded = (mayBeCut || mayHaveCrashed) && co_await hasEnded(target, mayBeCut && isStream);
     if (mayBeCut && endpointEnded)
         callResult.failure = HttpFailure::Truncated;
     job.framing = callResult.framing;
@@ -188,6 +189,20 @@
     co_return result;
 }
 
+Task<bool> DirectEntry::State::hasEnded(std::shared_ptr<Target> target, bool askForRestart)
+{
+    if (!co_await target->client->isListening(detail::listenCheckTimeout))
+        co_return true;
+    if (!askForRestart || !target->record.processStartMs)
+        co_return false;
+    HttpCall call;
+    call.request = statusRequest();
+    call.timeout = detail::listenCheckTimeout;
+    const HttpResult status = co_await target->client->call(std::move(call));
+    const auto start = status.ok() ? decodeProcessStart(status.body) : std::nullopt;
+    co_return start&&* start != target->record.processStartMs;
+}
+
 std::shared_ptr<SilenceTimer> DirectEntry::State::startSilenceTimer(DirectJob& job, const std::shared_ptr<Target>& target)
 {
     auto silenceTimer = std::make_shared<SilenceTimer>(traffic);
--- a/fakes/main.cc
+++ b/fakes/main.cc
@@ -59,6 +59,7 @@
     addCommonFlags(*replica, replicaSettings.common);
     replica->add_option("--events", replicaSettings.eventCount);
     addMillisFlag(*replica, "--event-interval-ms", replicaSettings.eventInterval);
+    replica->add_option("--born", replicaSettings.born);
     ServiceFakeSettings serviceSettings;
     CLI::App* service = app.add_subcommand("service");
     addCommonFlags(*service, serviceSettings.common);
--- a/fakes/replica.cc
+++ b/fakes/replica.cc
@@ -40,6 +40,11 @@
         {
             constexpr unsigned misdirected = 421;
             constexpr unsigned unavailable = 503;
+            if (request.path() == "/orioletrail/report") {
+                const HttpResponse report = jsonAnswer(200, { { "born", m_settings.born } });
+                co_await responder.respond(report);
+                co_return;
+            }
             const std::string fault = m_server.consumeFault("refuse misdirect lose cut endless fail slow extra unframed unframed-cut unframed-crash unframed-empty");
             if (fault == "misdirect" || request.header("X-Expect-Replica") != name()) {
                 co_await reject(request, responder, misdirected);
--- a/fakes/replica.h
+++ b/fakes/replica.h
@@ -26,6 +26,8 @@
     // Number of events in a stream, and the time between them.
     int eventCount = 10;
     Millis eventInterval { 20 };
+    // Start of the process as it tells it in reports.
+    uint64_t born = 0;
 };
 
 // Returns the exit code of the process: 1 if it cannot listen.
--- a/tests/direct-cluster.cc
+++ b/tests/direct-cluster.cc
@@ -95,7 +95,7 @@
 {
     ++m_startCounts[name];
     m_endpoints[name].reset();
-    m_endpoints[name] = std::make_unique<Process>(std::vector<std::string> { binaryPath("orioletrail-fakes"), "replica", "--name", name, "--listen", localAddress(endpointPort(name)), "--record", m_directory.path(name) });
+    m_endpoints[name] = std::make_unique<Process>(std::vector<std::string> { binaryPath("orioletrail-fakes"), "replica", "--name", name, "--listen", localAddress(endpointPort(name)), "--record", m_directory.path(name), "--born", std::to_string(m_startCounts[name]) });
 }
 
 void DirectCluster::startEntry(int entry)
--- a/tests/direct-failure-test.cc
+++ b/tests/direct-failure-test.cc
@@ -131,6 +131,28 @@
     CHECK(cluster.recordsOf("t2").size() == 1);
 }
 
+TEST_CASE("direct: a stream whose endpoint restarted while the entry stood still never looks complete")
+{
+    DirectCluster cluster;
+    REQUIRE(cluster.waitUntilReady());
+    for (const char* name : { "m1", "m2", "m3" })
+        cluster.setFault(name, "unframed");
+    HttpResult streamed;
+    std::thread caller([&] { streamed = cluster.call("POST", "/stream/1", "x1"); });
+    std::this_thread::sleep_for(Millis(90));
+    cluster.entry().signal(SIGSTOP);
+    const auto runs = cluster.recordsOf("x1");
+    if (!runs.empty()) {
+        cluster.startEndpoint(stringField(runs.front(), "name"));
+        std::this_thread::sleep_for(Millis(300));
+    }
+    cluster.entry().signal(SIGCONT);
+    caller.join();
+    REQUIRE(runs.size() == 1);
+    CHECK(streamed.body == completeStream());
+    CHECK(cluster.recordsOf("x1").size() == 2);
+}
+
 TEST_CASE("direct: a stream that ends with its connection before the first event never looks complete")
 {
     DirectCluster cluster;
