Let the soak lose framing, store writes and endpoints to a part of a prompt

Endpoints can now send answers with neither a length nor chunks, whole or cut within an event, and end at a part that one stream in sixty has; the store can come back from a copy up to 4 s old.

--- a/tests/soak-test.cc
+++ b/tests/soak-test.cc
@@ -67,6 +67,10 @@
         request.sentAt = fakes::unixMillis();
         HttpCall call;
         call.request = { "POST", request.target, { { "Host", "app.example" }, { "X-Request-Id", request.id }, { "Authorization", "Token key-1" }, { "X-Deadline-Ms", "1500" } }, {} };
+        // One stream in sixty has a part that ends the endpoint.
+        constexpr uint32_t poisonInterval = 60;
+        if (request.service() == "model")
+            call.request.headers.emplace_back("X-Prompt-Prefix", "5c1e:40," + std::string(m_random() % poisonInterval ? "" : "dead:7,") + request.id + ":25");
         call.timeout = Millis(4000);
         auto exchange = [&]() -> Task<> { request.result = co_await m_client.call(call); };
         boost::asio::co_spawn(m_context, exchange(), boost::asio::detached);
@@ -96,7 +100,7 @@
     {
         const int entry = static_cast<int>(m_random() % static_cast<unsigned>(m_entries));
         const std::string endpoint = m_cluster.endpointNames()[m_random() % m_cluster.endpointNames().size()];
-        constexpr unsigned actions = 16;
+        constexpr unsigned actions = 19;
         switch (m_random() % actions) {
         case 0:
         case 1:
@@ -136,8 +140,15 @@
         case 12:
             clearFaults();
             break;
+        case 13:
+            restoreStore();
+            break;
+        case 14:
+            for (const std::string& name : m_cluster.endpointNames())
+                restartIfEnded(name);
+            break;
         default: {
-            constexpr std::array<const char*, 7> faults { "refuse", "misdirect", "lose", "fail", "cut", "slow", "endless" };
+            constexpr std::array<const char*, 9> faults { "refuse", "misdirect", "lose", "fail", "cut", "slow", "endless", "unframed", "unframed-cut" };
             const std::string fault = faults[m_random() % faults.size()];
             const bool atAll = m_random() % 2;
             for (const std::string& name : m_cluster.endpointNames())
@@ -164,6 +175,24 @@
     }
 
 private:
+    void restartIfEnded(const std::string& endpoint)
+    {
+        if (!m_cluster.endpoint(endpoint).wait(Millis(0)))
+            return;
+        m_cluster.startEndpoint(endpoint);
+        m_cluster.registerEndpoint(endpoint);
+    }
+
+    // Loses what was written in the last seconds. Operators and endpoints write it again.
+    void restoreStore()
+    {
+        constexpr uint32_t maxAgeMs = 4000;
+        m_cluster.restoreStore(Millis(m_random() % maxAgeMs));
+        m_cluster.putConfiguration(1);
+        for (const std::string& endpoint : m_cluster.endpointNames())
+            m_cluster.registerEndpoint(endpoint);
+    }
+
     DirectCluster& m_cluster;
     int m_entries;
     std::mt19937 m_random;
