Ask a process that may be ending for a sign of life more than once

Cause: a process that ends closes its connections and its listening socket one after the other. In between a connection is still accepted, and reset later. The check now watches a new connection for 10 ms and connects again if it is reset; where a stream ended with its connection, the endpoint has to answer with its status as well.

--- a/direct/attempt.cc
+++ b/direct/attempt.cc
@@ -19,6 +19,7 @@
     // How long the end of an answer that ends with its connection may wait for each sign that the
     // endpoint's process has ended too.
     constexpr Millis listenCheckTimeout { 100 };
+    constexpr int endChecks = 3;
     // An answer that is not a stream is kept until it is complete, so that none is passed on in part.
     constexpr size_t maxAnswerBytes = size_t { 2 } << 20;
     // Chunks of events after which an endpoint has begun to answer. A crash at the first of them may
@@ -189,18 +190,26 @@
     co_return result;
 }
 
-Task<bool> DirectEntry::State::hasEnded(std::shared_ptr<Target> target, bool askForRestart)
+Task<bool> DirectEntry::State::hasEnded(std::shared_ptr<Target> target, bool askProcess)
 {
-    if (!co_await target->client->isListening(detail::listenCheckTimeout))
-        co_return true;
-    if (!askForRestart || !target->record.processStartMs)
-        co_return false;
-    HttpCall call;
-    call.request = statusRequest();
-    call.timeout = detail::listenCheckTimeout;
-    const HttpResult status = co_await target->client->call(std::move(call));
-    const auto start = status.ok() ? decodeProcessStart(status.body) : std::nullopt;
-    co_return start&&* start != target->record.processStartMs;
+    // A process that ends may still have its listening socket for a while, but it answers no more.
+    for (int check = 0; check < detail::endChecks; ++check) {
+        if (!co_await target->client->isListening(detail::listenCheckTimeout))
+            co_return true;
+        if (!askProcess)
+            co_return false;
+        HttpCall call;
+        call.request = statusRequest();
+        call.timeout = detail::listenCheckTimeout;
+        const HttpResult status = co_await target->client->call(std::move(call));
+        if (status.ok()) {
+            const auto start = decodeProcessStart(status.body);
+            co_return start && target->record.processStartMs&&* start != target->record.processStartMs;
+        }
+        if (status.failure == HttpFailure::Timeout)
+            co_return false;
+    }
+    co_return false;
 }
 
 std::shared_ptr<SilenceTimer> DirectEntry::State::startSilenceTimer(DirectJob& job, const std::shared_ptr<Target>& target)
--- a/direct/state.h
+++ b/direct/state.h
@@ -136,9 +136,9 @@
     // True if the request may be attempted again. Takes a retry from the budget if an attempt has reached
     // an endpoint.
     bool mayRetry(DirectJob&, const DirectAttemptResult&);
-    // True if the endpoint refuses connections or, on request, reports another start of its process
-    // than it is registered with.
-    Task<bool> hasEnded(std::shared_ptr<Target>, bool askForRestart);
+    // True if the endpoint's process has ended: it refuses connections. With `askProcess` the endpoint
+    // also has to answer with a status, which shows a new process too.
+    Task<bool> hasEnded(std::shared_ptr<Target>, bool askProcess);
     // Starts the timer that cancels the attempt if the endpoint stays silent and another one may be
     // tried.
     std::shared_ptr<SilenceTimer> startSilenceTimer(DirectJob&, const std::shared_ptr<Target>&);
--- a/gateway/client.cc
+++ b/gateway/client.cc
@@ -1,4 +1,5 @@
 // The HTTP client on Boost.Beast.
+#include "gateway/async.h"
 #include "gateway/http.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -28,6 +29,10 @@
     // dropped.
     constexpr int maxSkippedResponses = 4;
     constexpr size_t readBufferBytes = 16 * 1024;
+    // A process that ends may close its connections before its listening socket, and then resets a new
+    // connection, so each one is watched for a while. A server that is full does the same.
+    constexpr int listenChecks = 3;
+    constexpr Millis listenCheckPause { 10 };
     // Limits what one element of a response may take, such as its head, a chunk header or the trailer.
     constexpr size_t maxElementBytes = 64 * 1024;
 
@@ -111,16 +116,22 @@
             const auto idle = Clock::now() - stream->m_lastUsed;
             if (idle > maxIdle || (stream->m_peerKeepAlive && idle + detail::keepAliveMargin > *stream->m_peerKeepAlive))
                 continue;
-            char byte = 0;
-            error_code error;
-            stream->m_stream.socket().non_blocking(true, error);
-            stream->m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-            if (error == asio::error::would_block)
+            if (isOpenAndQuiet(*stream))
                 return stream;
         }
         return nullptr;
     }
 
+    // True if the connection is open and no bytes wait to be read.
+    static bool isOpenAndQuiet(detail::PooledStream& stream)
+    {
+        char byte = 0;
+        error_code error;
+        stream.m_stream.socket().non_blocking(true, error);
+        stream.m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        return error == asio::error::would_block;
+    }
+
     Task<detail::StreamPtr> connect(Millis timeout, error_code& error)
     {
         auto stream = std::make_shared<detail::PooledStream>(m_executor);
@@ -299,13 +310,19 @@
 Task<bool> HttpClient::isListening(Millis timeout)
 {
     const std::shared_ptr<State> state = m_state;
-    error_code error;
-    const detail::StreamPtr stream = co_await state->connect(timeout, error);
-    if (!error) {
-        stream->m_stream.expires_never();
-        state->returnToPool(stream);
+    for (int attempt = 0; attempt < detail::listenChecks; ++attempt) {
+        error_code error;
+        const detail::StreamPtr stream = co_await state->connect(timeout, error);
+        if (error)
+            co_return error != asio::error::connection_refused;
+        co_await sleepFor(detail::listenCheckPause);
+        if (State::isOpenAndQuiet(*stream)) {
+            stream->m_stream.expires_never();
+            state->returnToPool(stream);
+            co_return true;
+        }
     }
-    co_return error != asio::error::connection_refused;
+    co_return true;
 }
 
 Task<HttpResult> HttpClient::call(HttpCall call)
