--- a/direct/attempt.cc
+++ b/direct/attempt.cc
@@ -204,7 +204,9 @@
         const HttpResult status = co_await target->client->call(std::move(call));
         if (status.ok()) {
             const auto start = decodeProcessStart(status.body);
-            co_return start && target->record.processStartMs&&* start != target->record.processStartMs;
+            const uint64_t known = target->record.processStartMs;
+            const bool isSameProcess = !start || !known || *start == known;
+            co_return !isSameProcess;
         }
         if (status.failure == HttpFailure::Timeout)
             co_return false;
