Test that changes of the map pay off in groups of 63 and 129 ranks

Callers saw every stream of the large fleet late: no map was ever planned although the busiest engine had three times the mean load.

--- a/expertmap/proposal-test.cc
+++ b/expertmap/proposal-test.cc
@@ -11,12 +11,12 @@
 constexpr Millis copyTime { 98 };
 
 // Token counts that follow a power law, with `first` as the most popular expert.
-ExpertCounts skewed(size_t first)
+ExpertCounts skewed(size_t first, size_t sets = 4, size_t experts = 72, double exponent = 1.2)
 {
-    ExpertCounts counts(4, std::vector<double>(72));
+    ExpertCounts counts(sets, std::vector<double>(experts));
     for (auto& set : counts)
         for (size_t expert = 0; expert < set.size(); ++expert)
-            set[(first + expert * 7) % set.size()] = 1 / std::pow(static_cast<double>(expert + 1), 1.2);
+            set[(first + expert * 7) % set.size()] = 1 / std::pow(static_cast<double>(expert + 1), exponent);
     return counts;
 }
 
@@ -63,3 +63,30 @@
         CHECK(mapUnevenness(map, counts) < tolerable);
     }
 }
+
+TEST_CASE("in a large group a change pays off although it takes many copies")
+{
+    struct Shape {
+        uint32_t ranks;
+        uint32_t experts;
+        uint32_t sets;
+        MapLimits limits;
+        Millis copyTime;
+        double exponent;
+    };
+    // Stated aim, three seconds after a shift.
+    constexpr double tolerable = 1.5;
+    for (const Shape& shape : { Shape { 63, 252, 8, { 5, 2, 0 }, Millis(14), 0.66 }, Shape { 129, 258, 16, { 3, 2, 0 }, Millis(6), 0.4 } }) {
+        CAPTURE(shape.ranks);
+        ExpertMap map = initialMap(shape.sets, shape.experts, shape.ranks);
+        for (size_t shift = 1; shift <= 2; ++shift) {
+            CAPTURE(shift);
+            const ExpertCounts counts = skewed(shift * 29, shape.sets, shape.experts, shape.exponent);
+            CHECK(mapUnevenness(map, counts) > 2);
+            for (int change = 1; change <= 2; ++change)
+                if (const auto proposal = proposeMap(map, counts, {}, shape.limits, shape.copyTime))
+                    map = proposal->map;
+            CHECK(mapUnevenness(map, counts) < tolerable);
+        }
+    }
+}
