--- a/expertmap/proposal-test.cc
+++ b/expertmap/proposal-test.cc
@@ -10,13 +10,14 @@
 constexpr MapLimits limits { 8, 3, 0 };
 constexpr Millis copyTime { 98 };
 
-// Token counts that follow a power law, with `first` as the most popular expert.
-ExpertCounts skewed(size_t first, size_t sets = 4, size_t experts = 72, double exponent = 1.2)
+// Token counts that follow a power law, with `first` as the most popular expert. The number of experts is not a
+// multiple of `stride`, which then reaches all of them.
+ExpertCounts skewed(size_t first, size_t sets = 4, size_t experts = 72, double exponent = 1.2, size_t stride = 7)
 {
     ExpertCounts counts(sets, std::vector<double>(experts));
     for (auto& set : counts)
         for (size_t expert = 0; expert < set.size(); ++expert)
-            set[(first + expert * 7) % set.size()] = 1 / std::pow(static_cast<double>(expert + 1), exponent);
+            set[(first + expert * stride) % set.size()] = 1 / std::pow(static_cast<double>(expert + 1), exponent);
     return counts;
 }
 
@@ -81,7 +82,7 @@
         ExpertMap map = initialMap(shape.sets, shape.experts, shape.ranks);
         for (size_t shift = 1; shift <= 2; ++shift) {
             CAPTURE(shift);
-            const ExpertCounts counts = skewed(shift * 29, shape.sets, shape.experts, shape.exponent);
+            const ExpertCounts counts = skewed(shift * 29, shape.sets, shape.experts, shape.exponent, 5);
             CHECK(mapUnevenness(map, counts) > 2);
             for (int change = 1; change <= 2; ++change)
                 if (const auto proposal = proposeMap(map, counts, {}, shape.limits, shape.copyTime))
