Charge a copied expert in proportion to its duration and to the group

Callers: on the large fleet no map was ever planned, and all streams ran at the pace of an engine with three times the mean load. Cause: each copy cost 0.006 whatever its size, measured with 12 ranks and copies of 97 ms. With 129 ranks and copies of 6 ms a useful change has over a thousand copies and seemed to cost more than it could gain. Now a second of copying on all ranks costs 0.75, which is the same at 12 ranks.

--- a/bench/plan.cc
+++ b/bench/plan.cc
@@ -23,13 +23,16 @@
         uint32_t places;
         // Most experts of one set that one change may add to a rank.
         uint32_t newPerChange;
+        // Time in which a rank copies one expert.
+        Millis copyTime;
+        // Exponent of the Zipf distribution of the experts' popularity.
+        double skew;
     };
 
     // Token counts that follow a Zipf distribution. The seed determines the order of the experts by
     // popularity, which differs between the sets.
     ExpertCounts zipfCounts(const Size& size, uint64_t seed)
     {
-        constexpr double exponent = 1.2;
         std::mt19937_64 generator(seed);
         ExpertCounts counts(size.sets, std::vector<double>(size.experts));
         std::vector<uint32_t> order(size.experts);
@@ -37,7 +40,7 @@
         for (auto& set : counts) {
             std::shuffle(order.begin(), order.end(), generator);
             for (uint32_t popularityRank = 0; popularityRank < size.experts; ++popularityRank)
-                set[order[popularityRank]] = 1 / std::pow(popularityRank + 1, exponent);
+                set[order[popularityRank]] = 1 / std::pow(popularityRank + 1, size.skew);
         }
         return counts;
     }
@@ -54,10 +57,8 @@
 int runPlan()
 {
     constexpr int shifts = 5;
-    // Time in which a rank copies one expert.
-    constexpr Millis copyTime { 98 };
     std::printf("| ranks x experts x sets | places | imbalance before | after one change | after three changes | without limits on copies | time per plan |\n|---|---|---|---|---|---|---|\n");
-    for (const Size& size : { Size { 12, 72, 4, 8, 3 }, Size { 63, 252, 8, 6, 3 }, Size { 128, 64, 60, 2, 1 } }) {
+    for (const Size& size : { Size { 12, 72, 4, 8, 3, Millis(97), 1.3 }, Size { 63, 252, 8, 5, 2, Millis(14), 0.66 }, Size { 129, 258, 16, 3, 2, Millis(6), 0.45 }, Size { 128, 64, 60, 2, 1, Millis(98), 1.2 } }) {
         double before = 0;
         double afterOne = 0;
         double afterThree = 0;
@@ -71,7 +72,7 @@
             withoutCopyLimits += imbalanceWithoutCopyLimits(size, map, counts) / shifts;
             for (int change = 1; change <= 3; ++change) {
                 const TimePoint start = Clock::now();
-                auto proposal = proposeMap(map, counts, {}, limits, copyTime);
+                auto proposal = proposeMap(map, counts, {}, limits, size.copyTime);
                 planMs += std::chrono::duration<double, std::milli>(Clock::now() - start).count() / (3 * shifts);
                 if (proposal)
                     map = std::move(proposal->map);
--- a/expertmap/proposal.h
+++ b/expertmap/proposal.h
@@ -11,10 +11,11 @@
     Millis horizon { 2500 };
     // Time from one change to the next: copying, orders to the ranks and their reports.
     Millis changeInterval { 600 };
-    // Cost of one copied expert in addition to the time of copying. Costs and gains are in units of
+    // Cost of copying during one second on all ranks, in addition to the longer passes. One copy costs
+    // its part of that: its duration, divided by the number of ranks. Costs and gains are in units of
     // unevenness times seconds: 1 is one second in which each pass takes longer by the duration of a
     // pass with an even load.
-    double copyCost = 0.006;
+    double copyCost = 0.75;
     // Minimum net gain of a change over the horizon, in the same unit.
     double minGain = 0.1;
 };
