Lead groups of 129 ranks at the pace of their counts

Cause: the leader called ranks one after another (2.4 to 4.8 s a round where 150 ms are meant), read maps back the same way, and made plans on the thread that serves.

Now the leader reads the counts of a fixed sample of 32 ranks at once, reads maps back from all ranks at once, and plans on a thread of its own. One text of an order to prepare serves all ranks; 32 of them are under way at a time, with 400 ms for an answer. The live entry with the most processor leads.

--- a/direct/direct.cc
+++ b/direct/direct.cc
@@ -143,6 +143,7 @@
     traffic.run();
     controlIo.stop();
     controlThread.join();
+    plannerThread.join();
     log(LogLevel::Info, "direct entry stopped", { { "instance", platform.instance } });
 }
 
@@ -232,8 +233,8 @@
     hooks.profile = [this](const std::string& service) { return expertProfile(service); };
     hooks.expectedGapRatio = [this](const std::string& service, double unevenness) { return dispatcher->expectedGapRatio(service, unevenness, Clock::now()); };
     hooks.acquireLeadership = [this] { return acquireMapLeadership(); };
-    hooks.isPreferredLeader = [this] { return livePeers.isPreferredLeader(platform.instance, Clock::now()); };
-    mapDriver = std::make_unique<MapDriver>(traffic.get_executor(), MapDriverSettings {}, std::move(hooks), metrics);
+    hooks.isPreferredLeader = [this] { return livePeers.isPreferredLeader(platform.instance, platform.processorShare, Clock::now()); };
+    mapDriver = std::make_unique<MapDriver>(traffic.get_executor(), plannerThread.get_executor(), MapDriverSettings {}, std::move(hooks), metrics);
 }
 
 void DirectEntry::State::updateSlowness(std::map<std::string, double, std::less<>> updated)
--- a/direct/live-peers-test.cc
+++ b/direct/live-peers-test.cc
@@ -12,31 +12,44 @@
 
 } // namespace
 
-TEST_CASE("the live entry with the smallest name leads next")
+TEST_CASE("of live entries with the same processor time the one with the smallest name leads next")
 {
     LivePeers peers;
-    CHECK(peers.isPreferredLeader("entry-c", start));
-    CHECK_FALSE(peers.firstLivePeer(start));
-    peers.onStatus(second, false, start);
-    peers.onStatus(first, false, start);
-    CHECK(peers.firstLivePeer(start) == first);
-    CHECK_FALSE(peers.isPreferredLeader("entry-c", start));
-    CHECK(peers.isPreferredLeader("entry-0", start));
+    CHECK(peers.isPreferredLeader("entry-c", 0.2, start));
+    CHECK_FALSE(peers.nextLeader(start));
+    peers.onStatus(second, false, 0.2, start);
+    peers.onStatus(first, false, 0.2, start);
+    CHECK(peers.nextLeader(start) == first);
+    CHECK_FALSE(peers.isPreferredLeader("entry-c", 0.2, start));
+    CHECK(peers.isPreferredLeader("entry-0", 0.2, start));
     const TimePoint later = start + Millis(600);
-    peers.onStatus(second, false, later);
-    CHECK(peers.firstLivePeer(later) == second);
-    CHECK(peers.isPreferredLeader("entry-a", later));
+    peers.onStatus(second, false, 0.2, later);
+    CHECK(peers.nextLeader(later) == second);
+    CHECK(peers.isPreferredLeader("entry-a", 0.2, later));
 }
 
 TEST_CASE("a stopping entry is skipped, its next process is not")
 {
     LivePeers peers;
-    peers.onStatus(first, true, start);
-    CHECK_FALSE(peers.firstLivePeer(start));
-    CHECK(peers.isPreferredLeader("entry-c", start));
-    peers.onStatus(second, false, start);
-    CHECK(peers.firstLivePeer(start) == second);
+    peers.onStatus(first, true, 0.2, start);
+    CHECK_FALSE(peers.nextLeader(start));
+    CHECK(peers.isPreferredLeader("entry-c", 0.2, start));
+    peers.onStatus(second, false, 0.2, start);
+    CHECK(peers.nextLeader(start) == second);
     const InstanceProcess restarted { first.instance, 33 };
-    peers.onStatus(restarted, false, start);
-    CHECK(peers.firstLivePeer(start) == restarted);
+    peers.onStatus(restarted, false, 0.2, start);
+    CHECK(peers.nextLeader(start) == restarted);
+}
+
+TEST_CASE("an entry with little processor time does not lead a large group while another has more")
+{
+    LivePeers peers;
+    peers.onStatus(first, false, 0.18, start);
+    peers.onStatus(second, false, 0.5, start);
+    CHECK(peers.nextLeader(start) == second);
+    CHECK_FALSE(peers.isPreferredLeader("entry-0", 0.18, start));
+    CHECK(peers.isPreferredLeader("entry-0", 0.5, start));
+    const TimePoint later = start + Millis(600);
+    peers.onStatus(first, false, 0.18, later);
+    CHECK(peers.nextLeader(later) == first);
 }
--- a/direct/map-driver.cc
+++ b/direct/map-driver.cc
@@ -1,10 +1,12 @@
 #include "direct/map-driver.h"
 
+#include "gateway/async.h"
 #include "telemetry/log.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <numeric>
 
 namespace orioletrail {
@@ -61,10 +63,16 @@
         return counts.empty();
     }
 
+    Task<std::optional<MapProposal>> propose(const MapPlanInput& input)
+    {
+        co_return proposeMap(input.map, input.expected, input.slowness, input.limits, input.copyTime, input.settings);
+    }
+
 } // namespace detail
 
-MapDriver::MapDriver(asio::any_io_executor executor, const MapDriverSettings& settings, Hooks hooks, Metrics& metrics)
+MapDriver::MapDriver(asio::any_io_executor executor, asio::any_io_executor planner, const MapDriverSettings& settings, Hooks hooks, Metrics& metrics)
     : m_executor(std::move(executor))
+    , m_planner(std::move(planner))
     , m_settings(settings)
     , m_hooks(std::move(hooks))
     , m_metrics(metrics)
@@ -117,13 +125,19 @@
     const TimePoint now = Clock::now();
     MapLeader& leader = group->leader;
     for (MapOrder& order : leader.orders(now)) {
+        if (order.kind == MapOrderKind::Prepare && group->preparing >= m_settings.maxPreparing) {
+            leader.postpone(order);
+            continue;
+        }
         const auto direct = group->directAccess.find(order.rank);
         const bool isSentDirectly = detail::bypassesSidecar(order.kind) && group->directEpoch == leader.epoch() && direct != group->directAccess.end();
         const EngineAccess* access = isSentDirectly ? &direct->second : accessTo(*group, order.rank, now);
-        if (access)
-            asio::co_spawn(m_executor, sendOrder(group, *access, std::move(order)), asio::detached);
-        else
+        if (!access) {
             leader.onAnswer(order, OrderAnswer::Unknown, now);
+            continue;
+        }
+        group->preparing += order.kind == MapOrderKind::Prepare;
+        asio::co_spawn(m_executor, sendOrder(group, *access, std::move(order)), asio::detached);
     }
     if (leader.phase() == group->loggedPhase)
         return;
@@ -303,9 +317,23 @@
     return group;
 }
 
+HttpRequest MapDriver::requestFor(Group& group, const MapOrder& order)
+{
+    if (order.kind != MapOrderKind::Prepare)
+        return orderRequest(order);
+    // Fences and versions are drawn from one sequence, so a version is prepared under one fence only.
+    if (group.prepareVersion != order.version) {
+        group.prepareVersion = order.version;
+        group.prepareRequest = orderRequest(order);
+    }
+    return group.prepareRequest;
+}
+
 Task<> MapDriver::sendOrder(GroupPtr group, EngineAccess engine, MapOrder order)
 {
-    const HttpResult result = co_await call(engine, orderRequest(order), m_settings.orderTimeout);
+    const bool isPrepare = order.kind == MapOrderKind::Prepare;
+    const HttpResult result = co_await call(engine, requestFor(*group, order), isPrepare ? m_settings.prepareTimeout : m_settings.orderTimeout);
+    group->preparing -= isPrepare;
     const OrderAnswer answer = decodeOrderAnswer(result);
     std::string labels = "order=\"";
     labels += mapOrderName(order.kind);
@@ -353,7 +381,7 @@
     const EngineProfile* profile = m_hooks.profile(group->service);
     const ExpertCounts& expected = group->forecast.counts();
     MapLeader& leader = group->leader;
-    if (!profile || !m_leadership || m_isStopping || expected.empty() || leader.phase() != MapPhase::Ready)
+    if (!profile || !m_leadership || m_isStopping || group->isPlanning || expected.empty() || leader.phase() != MapPhase::Ready)
         return;
     if (const auto own = leader.completedMap(leader.version())) {
         group->map = *own;
@@ -367,19 +395,31 @@
     if (m_hooks.expectedGapRatio(group->service, before) < m_settings.minGapRatio)
         return;
     const MapLimits limits { profile->expertsPerRank, profile->newExpertsPerChange, 0 };
-    std::optional<MapProposal> proposed = proposeMap(*group->map, expected, group->slowness, limits, profile->expertCopyTime, m_settings.proposals);
-    if (!proposed)
-        return;
-    MapProposal& proposal = *proposed;
+    group->isPlanning = true;
+    asio::co_spawn(m_executor, proposeAndStart(group, { *group->map, expected, group->slowness, limits, profile->expertCopyTime, m_settings.proposals }), asio::detached);
+}
+
+Task<> MapDriver::proposeAndStart(GroupPtr group, MapPlanInput input)
+{
+    const uint64_t version = group->mapVersion;
+    const uint64_t epoch = group->mapEpoch;
+    const double before = mapUnevenness(input.map, input.expected, input.slowness);
+    std::optional<MapProposal> proposal = co_await asio::co_spawn(m_planner, detail::propose(input), asio::use_awaitable);
+    group->isPlanning = false;
+    MapLeader& leader = group->leader;
+    // While the plan was made, the leadership may have been lost or the group may have changed.
+    const bool isCurrent = m_leadership && !m_isStopping && leader.phase() == MapPhase::Ready && leader.version() == version && leader.epoch() == epoch;
+    if (!proposal || !isCurrent)
+        co_return;
     std::string reason;
-    if (!isValidMap(proposal.map, profile->experts, limits, reason)) {
+    if (!isValidMap(proposal->map, static_cast<uint32_t>(input.expected.front().size()), input.limits, reason)) {
         log(LogLevel::Error, "expert map plan is invalid", { { "reason", reason } });
-        return;
+        co_return;
     }
-    log(LogLevel::Info, "expert map planned", { { "before", std::to_string(before) }, { "after", std::to_string(proposal.unevenness) }, { "copies", std::to_string(proposal.copies) }, { "copyMs", std::to_string(proposal.copyTime.count()) }, { "gain", std::to_string(proposal.gain) } });
+    log(LogLevel::Info, "expert map planned", { { "before", std::to_string(before) }, { "after", std::to_string(proposal->unevenness) }, { "copies", std::to_string(proposal->copies) }, { "copyMs", std::to_string(proposal->copyTime.count()) }, { "gain", std::to_string(proposal->gain) } });
     m_metrics.count("orioletrail_map_changes_total");
-    m_metrics.count("orioletrail_map_copies_total", {}, proposal.copies);
-    leader.startChange(std::move(proposal.map), Clock::now());
+    m_metrics.count("orioletrail_map_copies_total", {}, proposal->copies);
+    leader.startChange(std::move(proposal->map), Clock::now());
     sendDueOrders(group);
 }
 
@@ -398,16 +438,18 @@
     } else if (!version) {
         map = initialMap(profile->expertSets, profile->experts, group->leader.ranks());
     } else {
-        map.experts.assign(profile->expertSets, std::vector<std::vector<uint32_t>>(group->leader.ranks()));
-        const auto ranks = group->ranks;
-        for (const auto& [rank, engine] : ranks) {
-            const HttpResult result = co_await call(engine.engine, expertsRequest(), m_settings.readTimeout);
-            const auto held = result.ok() ? decodeExperts(result.body) : std::nullopt;
-            if (!held || held->version != version || held->epoch != epoch || held->experts.size() != map.experts.size() || rank >= group->leader.ranks())
-                co_return false;
-            for (size_t set = 0; set < map.experts.size(); ++set)
-                map.experts[set][rank] = held->experts[set];
-        }
+        auto read = std::make_shared<std::optional<ExpertMap>>(ExpertMap {});
+        (*read)->experts.assign(profile->expertSets, std::vector<std::vector<uint32_t>>(group->leader.ranks()));
+        std::vector<Task<>> readings;
+        for (const auto& [rank, access] : group->ranks)
+            readings.push_back(readRankExperts(group, rank, access.engine, read));
+        if (readings.size() < group->leader.ranks())
+            co_return false;
+        co_await runAll(std::move(readings));
+        // The group may have changed while the ranks were asked.
+        if (!*read || group->leader.version() != version || group->leader.epoch() != epoch)
+            co_return false;
+        map = std::move(**read);
     }
     group->map = std::move(map);
     group->mapVersion = version;
@@ -415,33 +457,56 @@
     co_return true;
 }
 
+Task<> MapDriver::readRankExperts(GroupPtr group, uint32_t rank, EngineAccess engine, std::shared_ptr<std::optional<ExpertMap>> map)
+{
+    const uint64_t version = group->leader.version();
+    const uint64_t epoch = group->leader.epoch();
+    const HttpResult result = co_await call(std::move(engine), expertsRequest(), m_settings.readTimeout);
+    const auto held = result.ok() ? decodeExperts(result.body) : std::nullopt;
+    if (!*map)
+        co_return;
+    ExpertMap& read = **map;
+    if (!held || held->version != version || held->epoch != epoch || held->experts.size() != read.experts.size() || rank >= group->leader.ranks()) {
+        map->reset();
+        co_return;
+    }
+    for (size_t set = 0; set < read.experts.size(); ++set)
+        read.experts[set][rank] = held->experts[set];
+}
+
 Task<bool> MapDriver::readCounts(GroupPtr group, ExpertCounts& chosen)
 {
     const EngineProfile* profile = m_hooks.profile(group->service);
     if (!profile)
         co_return false;
-    const size_t experts = profile->experts;
-    chosen.assign(profile->expertSets, std::vector<double>(experts));
     if (group->countsEpoch != group->leader.epoch()) {
         group->lastCounts.clear();
         group->countsEpoch = group->leader.epoch();
     }
-    const auto ranks = group->ranks;
-    const size_t stride = reportsThroughSidecars(*group, Clock::now()) ? 1 : std::max<size_t>(1, ranks.size() / m_settings.sampledRanks);
+    auto sum = std::make_shared<ExpertCounts>(profile->expertSets, std::vector<double>(profile->experts));
+    const size_t sampled = reportsThroughSidecars(*group, Clock::now()) ? m_settings.sampledRanks : m_settings.directlySampledRanks;
+    const size_t stride = std::max<size_t>(1, group->ranks.size() / sampled);
     size_t index = 0;
-    for (const auto& [rank, engine] : ranks) {
-        if (index++ % stride)
-            continue;
-        const HttpResult result = co_await call(engine.engine, countsRequest(), m_settings.readTimeout);
-        const auto read = result.ok() ? decodeCounts(result.body) : std::nullopt;
-        if (!read || read->counts.size() != chosen.size() * experts || read->epoch != group->countsEpoch)
-            continue;
-        const std::vector<double>& last = group->lastCounts[rank];
-        for (size_t i = 0; i < read->counts.size(); ++i)
-            chosen[i / experts][i % experts] += std::max(0.0, read->counts[i] - (last.empty() ? 0 : last[i]));
-        group->lastCounts[rank] = read->counts;
-    }
+    std::vector<Task<>> readings;
+    for (const auto& [rank, access] : group->ranks)
+        if (index++ % stride == 0)
+            readings.push_back(readRankCounts(group, rank, access.engine, sum));
+    co_await runAll(std::move(readings));
+    chosen = std::move(*sum);
     co_return !detail::hasEmptySet(chosen);
 }
 
+Task<> MapDriver::readRankCounts(GroupPtr group, uint32_t rank, EngineAccess engine, std::shared_ptr<ExpertCounts> chosen)
+{
+    const HttpResult result = co_await call(std::move(engine), countsRequest(), m_settings.readTimeout);
+    const auto read = result.ok() ? decodeCounts(result.body) : std::nullopt;
+    const size_t experts = chosen->empty() ? 0 : chosen->front().size();
+    if (!read || read->counts.size() != chosen->size() * experts || read->epoch != group->countsEpoch)
+        co_return;
+    const std::vector<double>& last = group->lastCounts[rank];
+    for (size_t i = 0; i < read->counts.size(); ++i)
+        (*chosen)[i / experts][i % experts] += std::max(0.0, read->counts[i] - (last.empty() ? 0 : last[i]));
+    group->lastCounts[rank] = read->counts;
+}
+
 } // namespace orioletrail
--- a/direct/map-driver.h
+++ b/direct/map-driver.h
@@ -30,8 +30,10 @@
     // changes every few seconds.
     Millis countInterval { 150 };
     Millis directCountInterval { 1000 };
-    // Number of ranks whose counts are read, if they are read directly.
-    uint32_t sampledRanks = 4;
+    // Number of ranks whose counts are read through sidecars, and directly. All ranks of a large group
+    // would send more than the leader's link carries; a few dozen show the popularity as well.
+    uint32_t sampledRanks = 32;
+    uint32_t directlySampledRanks = 4;
     ProposalSettings proposals;
     // A map is left as it is while the expected gap between two events of a stream is below this
     // share of the objective. Passes are short enough then and copying experts would only disturb
@@ -39,8 +41,13 @@
     double minGapRatio = 0.5;
     // Timeout of requests for reports, counts and experts.
     Millis readTimeout { 400 };
-    // Timeout of orders: many round trips. An order without an answer by then is sent again.
+    // Timeout of orders: many round trips. An order without an answer by then is sent again. An order to
+    // prepare holds the whole map, which takes longer to send.
     Millis orderTimeout { 40 };
+    Millis prepareTimeout { 400 };
+    // Orders to prepare that may be under way at once, so that they do not delay each other and the
+    // reports beyond their timeouts.
+    size_t maxPreparing = 32;
     // The leader resigns if no engine has sent a report for this long.
     Millis reportTimeout { 2000 };
     // Size of the range of fences and versions of one leadership. When it is used up, the leadership
@@ -50,6 +57,16 @@
     Millis leaderTimeout { 1000 };
 };
 
+// What a plan is made from.
+struct MapPlanInput {
+    ExpertMap map;
+    ExpertCounts expected;
+    RankSlowness slowness;
+    MapLimits limits;
+    Millis copyTime { 0 };
+    ProposalSettings settings;
+};
+
 class MapDriver {
 public:
     struct Hooks {
@@ -69,7 +86,8 @@
         std::function<bool()> isPreferredLeader;
     };
 
-    MapDriver(boost::asio::any_io_executor, const MapDriverSettings&, Hooks, Metrics&);
+    // Plans are made on `planner`, everything else is done on `executor`.
+    MapDriver(boost::asio::any_io_executor executor, boost::asio::any_io_executor planner, const MapDriverSettings&, Hooks, Metrics&);
 
     // Does all work that is due. Call it several times per forward pass of the engines.
     void tick(TimePoint);
@@ -129,6 +147,12 @@
         // Counts are being read.
         bool isReading = false;
         TimePoint nextReadingAt;
+        // A change is being planned.
+        bool isPlanning = false;
+        // Orders to prepare that wait for an answer, and the request that they share.
+        size_t preparing = 0;
+        HttpRequest prepareRequest;
+        uint64_t prepareVersion = 0;
     };
 
     using GroupPtr = std::shared_ptr<Group>;
@@ -147,13 +171,20 @@
     // The access to use for an order now, or null if there is none.
     const EngineAccess* accessTo(const Group&, uint32_t rank, TimePoint) const;
     void sendDueOrders(const GroupPtr&);
+    // The request for an order. All ranks get the same one to prepare a version, which is large.
+    HttpRequest requestFor(Group&, const MapOrder&);
     Task<> sendOrder(GroupPtr, EngineAccess, MapOrder);
     Task<> readAndPlan(GroupPtr);
     // Starts a change of the group's map if one is worth its cost.
     void planChange(const GroupPtr&);
+    Task<> proposeAndStart(GroupPtr, MapPlanInput);
     // Adds up, by expert, how often it was chosen since the previous reading. Returns false if a set
     // of experts has no counts.
     Task<bool> readCounts(GroupPtr, ExpertCounts& chosen);
+    // Reads the counts of one rank and adds them to `chosen`.
+    Task<> readRankCounts(GroupPtr, uint32_t rank, EngineAccess, std::shared_ptr<ExpertCounts> chosen);
+    // Reads the experts that one rank holds in the map's version. Clears `map` if that fails.
+    Task<> readRankExperts(GroupPtr, uint32_t rank, EngineAccess, std::shared_ptr<std::optional<ExpertMap>> map);
     // Determines the map that the engines use; asks them if this instance did not make it.
     Task<bool> readMap(GroupPtr);
     // Null if the engine belongs to no group or its service is unknown.
@@ -161,6 +192,7 @@
     Task<HttpResult> call(EngineAccess, HttpRequest, Millis timeout);
 
     boost::asio::any_io_executor m_executor;
+    boost::asio::any_io_executor m_planner;
     MapDriverSettings m_settings;
     Hooks m_hooks;
     Metrics& m_metrics;
--- a/direct/peer-messages.cc
+++ b/direct/peer-messages.cc
@@ -133,18 +133,19 @@
     status.sent = dispatcher->sentAges(Clock::now());
     status.poison = poison.report(Clock::now());
     status.crashes = crashParts.report(Clock::now());
+    status.processorShare = platform.processorShare;
     status.leading = mapDriver->isLeading();
     status.stopping = stoppingSince.has_value();
     if (status.leading)
         status.slowness = mapDriver->slowEndpoints();
     if (mapDriver->releasedLeadership())
-        status.offer = handover->offer(*mapDriver->releasedLeadership(), [this] { return livePeers.firstLivePeer(Clock::now()); });
+        status.offer = handover->offer(*mapDriver->releasedLeadership(), [this] { return livePeers.nextLeader(Clock::now()); });
     return status;
 }
 
 void DirectEntry::State::onPeerStatus(PeerStatus status)
 {
-    livePeers.onStatus(status.sender, status.stopping, Clock::now());
+    livePeers.onStatus(status.sender, status.stopping, status.processorShare, Clock::now());
     addKnownInstance(status.sender.instance);
     catchUp.onPeer(status.sender.instance, status.address, status.configuration, std::move(status.closedZones), Clock::now());
     if (status.leading) {
--- a/direct/peers-test.cc
+++ b/direct/peers-test.cc
@@ -30,6 +30,7 @@
     status.inFlight = { { "e-1", 3 }, { "e-2", 1 } };
     status.poison = { { "123", { { 17'000'000'000'000'000'002U, Millis(120), Millis(20) } }, Millis(200) } };
     status.configuration = 42;
+    status.processorShare = 0.5;
     status.closedZones = { "z2", "z3" };
     status.limits = { { "e-1", { 17'000'000'000'000'000'003U, 2.25, Millis(30) } } };
     status.sent = { { "e-1", { Millis(0), Millis(3900) } } };
@@ -53,6 +54,7 @@
     CHECK(read->poison[0].clearedAgo == Millis(200));
     CHECK(decodePeerStatus(R"({"instance":"a","run":1,"address":"x","lostRequests":[5,{"digest":7},{"digest":"d","deaths":[1,{"process":"x"}]}]})")->poison.size() == 1);
     CHECK(read->configuration == 42);
+    CHECK(read->processorShare == 0.5);
     CHECK(read->closedZones == status.closedZones);
     REQUIRE(read->limits.contains("e-1"));
     CHECK(read->limits.at("e-1").process == status.limits.at("e-1").process);
@@ -122,8 +124,8 @@
     MapDriver::Hooks hooks;
     hooks.engines = [] { return std::vector<EngineAccess>(); };
     hooks.sidecars = []() -> Task<std::optional<std::vector<EngineAccess>>> { co_return std::nullopt; };
-    MapDriver first(context.get_executor(), {}, hooks, metrics);
-    MapDriver second(context.get_executor(), {}, hooks, metrics);
+    MapDriver first(context.get_executor(), context.get_executor(), {}, hooks, metrics);
+    MapDriver second(context.get_executor(), context.get_executor(), {}, hooks, metrics);
     first.takeOver({ 65'536, 131'072 });
     CHECK(first.isLeading());
     first.tick(Clock::now());
--- a/direct/peers.cc
+++ b/direct/peers.cc
@@ -169,6 +169,8 @@
     object["run"] = status.sender.incarnation;
     object["address"] = status.address;
     object["inFlight"] = detail::writeCounts(status.inFlight);
+    if (status.processorShare > 0)
+        object["processor"] = status.processorShare;
     if (status.configuration)
         object["configuration"] = status.configuration;
     if (!status.closedZones.empty())
@@ -217,6 +219,9 @@
                 status.slowness.emplace(endpoint, factor.to_number<double>(error));
     detail::readCounts(*object, "inFlight", status.inFlight);
     status.configuration = detail::readNumber(*object, "configuration").value_or(0);
+    const json::value* processor = object->if_contains("processor");
+    if (processor && processor->is_number())
+        status.processorShare = processor->to_number<double>(error);
     const json::value* zones = object->if_contains("closedZones");
     if (zones && zones->is_array())
         for (const json::value& zone : zones->get_array())
--- a/direct/peers.h
+++ b/direct/peers.h
@@ -33,6 +33,8 @@
     // Limits that endpoints have named, and what the sender sent to limited and cold endpoints.
     NamedLimits limits;
     SentAges sent;
+    // Processor time per second that the sender may use, in cores.
+    double processorShare = 0;
     // The sender leads the expert maps.
     bool leading = false;
     // The sender is shutting down.
--- a/direct/state.h
+++ b/direct/state.h
@@ -21,6 +21,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/thread_pool.hpp>
 #include <random>
 #include <thread>
 
@@ -215,6 +216,8 @@
     boost::asio::io_context traffic { 1 };
     // Runs on `controlThread`: calls to the store.
     boost::asio::io_context controlIo { 1 };
+    // Plans expert maps, which takes too long for the traffic thread.
+    boost::asio::thread_pool plannerThread { 1 };
     boost::asio::signal_set stopSignals { traffic, SIGTERM, SIGINT };
     boost::asio::signal_set reloadSignals { traffic, SIGHUP };
     std::unique_ptr<HttpServer> callerServer;
--- a/expertmap/map-leader.cc
+++ b/expertmap/map-leader.cc
@@ -184,6 +184,13 @@
     }
 }
 
+void MapLeader::postpone(const MapOrder& order)
+{
+    RankState& rank = m_ranks[order.rank];
+    rank.inFlight = false;
+    rank.sentAt = TimePoint();
+}
+
 bool MapLeader::needsReports(TimePoint now) const
 {
     if (m_phase == MapPhase::Idle)
--- a/expertmap/map-leader.h
+++ b/expertmap/map-leader.h
@@ -151,6 +151,9 @@
     // Returns the orders that are due. Each counts as in flight until onAnswer().
     std::vector<MapOrder> orders(TimePoint);
 
+    // The order was not sent; orders() returns it again at once.
+    void postpone(const MapOrder&);
+
     // True if it is time to request reports from all ranks.
     bool needsReports(TimePoint) const;
     // Starts the interval until the next request.
--- a/gateway/async.cc
+++ b/gateway/async.cc
@@ -1,5 +1,6 @@
 #include "gateway/async.h"
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -17,6 +18,25 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+Task<> runAll(std::vector<Task<>> tasks)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    asio::steady_timer ended(executor, asio::steady_timer::time_point::max());
+    size_t running = tasks.size();
+    const auto onEnded = [&](std::exception_ptr error) {
+        if (error)
+            std::rethrow_exception(error);
+        if (!--running)
+            ended.cancel();
+    };
+    for (Task<>& task : tasks)
+        asio::co_spawn(executor, std::move(task), onEnded);
+    while (running) {
+        boost::system::error_code ignored;
+        co_await ended.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
 Millis withJitter(Millis delay)
 {
     static thread_local std::mt19937_64 random { std::random_device {}() };
--- a/gateway/async.h
+++ b/gateway/async.h
@@ -4,12 +4,16 @@
 #include "gateway/http.h"
 
 #include <span>
+#include <vector>
 
 namespace orioletrail {
 
 // Suspends the calling coroutine for the given time; it resumes on its own executor.
 Task<> sleepFor(Millis);
 
+// Runs the tasks at once on the caller's executor, and resumes when all have ended.
+Task<> runAll(std::vector<Task<>>);
+
 // Returns a uniformly distributed random duration in [delay / 2, delay], so that retries of
 // many processes spread out.
 Millis withJitter(Millis delay);
