Let a few entries of each zone read the store for the others

Cause: one watch an entry and kind, answered at each batch of changes.

Now the two entries of each zone with the most processor read the store and serve the others by the store's own calls; the watcher follows either. A feeder refuses as soon as its own watch fails, answers within 0.5 s in any case, and watches the closed zones for 0.8 s at a time while it has readers, so that a silent store shows. Entries tell each other the revision of the latest change of each kind; one that is behind for 0.4 s reads the store itself. Answers older than what is known are left out. Changes collect for 50 ms. In zones of one or two entries nothing changes.

The log has one line for many changed records instead of one each.

--- a/direct/catch-up.cc
+++ b/direct/catch-up.cc
@@ -46,6 +46,11 @@
     return newest;
 }
 
+bool CatchUp::hasWaitedForPeers(TimePoint now) const
+{
+    return now - m_started >= detail::maxWaitForList || (m_joinedAt && (hasHeardAll() || now - *m_joinedAt >= detail::maxWaitForPeers));
+}
+
 bool CatchUp::isReady(uint64_t version, TimePoint now)
 {
     if (m_isReady || !version)
@@ -55,7 +60,7 @@
     if (newest)
         m_isReady = newest->version <= version || running >= detail::maxWaitForVersion;
     else
-        m_isReady = running >= detail::maxWaitForList || (m_joinedAt && (hasHeardAll() || now - *m_joinedAt >= detail::maxWaitForPeers));
+        m_isReady = hasWaitedForPeers(now);
     return m_isReady;
 }
 
--- a/direct/catch-up.h
+++ b/direct/catch-up.h
@@ -30,6 +30,9 @@
     // True if this entry, which has configuration `version`, may answer requests. Once true, it stays so.
     bool isReady(uint64_t version, TimePoint);
 
+    // True once this entry has heard the others, or has waited long enough for them.
+    bool hasWaitedForPeers(TimePoint) const;
+
     // The address of an entry to fetch the configuration from, if one has had a newer version than this
     // entry for a while. Allows one fetch at a time; onFetched() ends it.
     std::optional<std::string> fetchSource(uint64_t version, TimePoint);
--- a/direct/direct.cc
+++ b/direct/direct.cc
@@ -86,11 +86,13 @@
         asio::post(traffic, [this, updated = std::move(updated)] { onSnapshot(updated); });
     });
     registry = std::make_unique<InstanceRegistry>(*store);
-    watcher = std::make_unique<StoreWatcher>(controlIo.get_executor(), *store, *keeper);
-    store->onEraChanged([this](uint64_t) {
-        watcher->onStoreRestored();
-        asio::co_spawn(controlIo, rejoinPeers(), asio::detached);
-    });
+    feed = std::make_unique<StoreFeed>(controlIo.get_executor());
+    feeders = std::make_unique<Feeders>(platform.instance, platform.zone, platform.processorShare);
+    StoreWatcher::Hooks watcherHooks;
+    watcherHooks.onProgress = [this](const StoreProgress& progress) { asio::post(traffic, [this, progress] { storeProgress = progress; }); };
+    watcherHooks.onRestored = [this] { asio::co_spawn(controlIo, rejoinPeers(), asio::detached); };
+    watcher = std::make_unique<StoreWatcher>(controlIo.get_executor(), *store, *feed, *keeper, metrics, std::move(watcherHooks));
+    store->onEraChanged([this](uint64_t era) { watcher->onEra(era); });
     auto refuseInvalid = [this](unsigned status, Reason refusalReason) {
         metrics.countRefusal(refusalReason, Outcome::NotRun);
         return refusalAnswer("", { status, refusalReason, Outcome::NotRun, Millis(0) });
@@ -102,6 +104,9 @@
     metricsServer = std::make_unique<HttpServer>(traffic.get_executor(), HttpLimits {}, serveAdmin, refuseInvalid);
     peerServer = std::make_unique<HttpServer>(
         traffic.get_executor(), HttpLimits {}, [this](const HttpRequest& request, Responder& responder) { return serveConfiguration(request, responder); }, refuseInvalid);
+    feedServer = std::make_unique<HttpServer>(
+        controlIo.get_executor(), HttpLimits {}, [this](const HttpRequest& request, Responder& responder) { return feed->serve(request, responder); },
+        [](unsigned status, Reason) { return HttpResponse { status, {}, {} }; });
     PeerExchange::Hooks hooks;
     hooks.ownStatus = [this] { return ownStatus(); };
     hooks.onStatus = [this](PeerStatus status) { onPeerStatus(std::move(status)); };
@@ -120,6 +125,10 @@
         reason = peerServer->lastError();
         return false;
     }
+    if (platform.firstPeerPort && !feedServer->listen(platform.address, platform.firstPeerPort + detail::feedPortOffset)) {
+        reason = feedServer->lastError();
+        return false;
+    }
     if (platform.firstPeerPort && !peers->start(platform.address + ':' + std::to_string(platform.firstPeerPort))) {
         reason = peers->lastError();
         return false;
@@ -273,6 +282,7 @@
         co_await sleepFor(detail::tickInterval);
         const TimePoint now = Clock::now();
         updateSlackShare(now);
+        updateFeeders(now);
         if (const auto source = catchUp.fetchSource(snapshot.catalog ? snapshot.catalog->version() : 0, now))
             asio::co_spawn(traffic, fetchConfiguration(*source), asio::detached);
         if (auto zones = catchUp.closedZones(now); zones != peerClosedZones) {
--- a/direct/keeper.cc
+++ b/direct/keeper.cc
@@ -51,7 +51,11 @@
         bool apply(const EndpointUpdate& update)
         {
             const EndpointRecord& endpoint = update.endpoint;
-            log(LogLevel::Info, "endpoint changed", { { "endpoint", endpoint.id }, { "service", endpoint.service }, { "zone", endpoint.zone }, { "leaving", endpoint.leaving ? "true" : "false" } });
+            // The many records of a fleet that starts are summed up.
+            if (endpoint.leaving)
+                log(LogLevel::Info, "endpoint leaving", { { "endpoint", endpoint.id }, { "service", endpoint.service }, { "zone", endpoint.zone } });
+            else
+                m_changedRecords.insert(endpoint.id);
             m_state.onEndpointChanged(endpoint, Clock::now());
             return true;
         }
@@ -88,10 +92,30 @@
             return false;
         }
 
-        bool apply(const ExpiryTick&) { return m_state.expire(Clock::now()); }
+        bool apply(const ExpiryTick&)
+        {
+            logChangedRecords();
+            return m_state.expire(Clock::now());
+        }
+
+        void logChangedRecords()
+        {
+            constexpr size_t maxNamed = 8;
+            if (m_changedRecords.empty())
+                return;
+            std::string named;
+            size_t count = 0;
+            for (const std::string& id : m_changedRecords)
+                if (count++ < maxNamed)
+                    named += (named.empty() ? "" : ",") + id;
+            log(LogLevel::Info, "endpoints changed", { { "count", std::to_string(m_changedRecords.size()) }, { "endpoints", named } });
+            m_changedRecords.clear();
+        }
 
         std::function<void(DirectorySnapshot)> m_onChange;
         DirectoryState m_state;
+        // Endpoints whose records have changed since the last line in the log about them.
+        std::set<std::string> m_changedRecords;
     };
 
     caf::actor_system_config& configureActorSystem(caf::actor_system_config& config)
--- a/direct/peer-messages.cc
+++ b/direct/peer-messages.cc
@@ -121,6 +121,34 @@
         keeper->send(CatalogUpdate { std::make_shared<const Catalog>(std::move(*catalog)) });
 }
 
+void DirectEntry::State::onPeerProgress(const PeerStatus& status)
+{
+    const auto address = parseAddress(status.address);
+    if (address)
+        feeders->onPeer(status.sender.instance, status.zone, address->first + ':' + std::to_string(address->second + detail::feedPortOffset), status.processorShare, status.stopping, Clock::now());
+    StoreProgress highest = peerProgress;
+    if (status.progress.era > highest.era)
+        highest = { status.progress.era, {} };
+    for (size_t kind = 0; status.progress.era == highest.era && kind < highest.changes.size(); ++kind)
+        highest.changes[kind] = std::max(highest.changes[kind], status.progress.changes[kind]);
+    if (highest == peerProgress)
+        return;
+    peerProgress = highest;
+    asio::post(controlIo, [this, highest] { watcher->onPeerProgress(highest); });
+}
+
+void DirectEntry::State::updateFeeders(TimePoint now)
+{
+    if (!platform.firstPeerPort || !catchUp.hasWaitedForPeers(now))
+        return;
+    std::vector<std::string> sources = feeders->sources(now);
+    if (hasFeeders && sources == currentFeeders)
+        return;
+    hasFeeders = true;
+    currentFeeders = sources;
+    asio::post(controlIo, [this, sources = std::move(sources)] { watcher->setFeeders(sources); });
+}
+
 PeerStatus DirectEntry::State::ownStatus()
 {
     PeerStatus status;
@@ -133,6 +161,8 @@
     status.sent = dispatcher->sentAges(Clock::now());
     status.poison = poison.report(Clock::now());
     status.crashes = crashParts.report(Clock::now());
+    status.zone = platform.zone;
+    status.progress = storeProgress;
     status.processorShare = platform.processorShare;
     status.leading = mapDriver->isLeading();
     status.stopping = stoppingSince.has_value();
@@ -146,6 +176,7 @@
 void DirectEntry::State::onPeerStatus(PeerStatus status)
 {
     livePeers.onStatus(status.sender, status.stopping, status.processorShare, Clock::now());
+    onPeerProgress(status);
     addKnownInstance(status.sender.instance);
     catchUp.onPeer(status.sender.instance, status.address, status.configuration, std::move(status.closedZones), Clock::now());
     if (status.leading) {
--- a/direct/peers-test.cc
+++ b/direct/peers-test.cc
@@ -31,6 +31,8 @@
     status.poison = { { "123", { { 17'000'000'000'000'000'002U, Millis(120), Millis(20) } }, Millis(200) } };
     status.configuration = 42;
     status.processorShare = 0.5;
+    status.zone = "z1";
+    status.progress = { 3, { 17, 18, 17'000'000'000'000'000'004U } };
     status.closedZones = { "z2", "z3" };
     status.limits = { { "e-1", { 17'000'000'000'000'000'003U, 2.25, Millis(30) } } };
     status.sent = { { "e-1", { Millis(0), Millis(3900) } } };
@@ -55,6 +57,9 @@
     CHECK(decodePeerStatus(R"({"instance":"a","run":1,"address":"x","lostRequests":[5,{"digest":7},{"digest":"d","deaths":[1,{"process":"x"}]}]})")->poison.size() == 1);
     CHECK(read->configuration == 42);
     CHECK(read->processorShare == 0.5);
+    CHECK(read->zone == "z1");
+    CHECK(read->progress == status.progress);
+    CHECK(decodePeerStatus(R"({"instance":"a","run":1,"address":"x","progress":[1,2,"x",4]})")->progress == StoreProgress {});
     CHECK(read->closedZones == status.closedZones);
     REQUIRE(read->limits.contains("e-1"));
     CHECK(read->limits.at("e-1").process == status.limits.at("e-1").process);
--- a/direct/peers.cc
+++ b/direct/peers.cc
@@ -79,6 +79,33 @@
         return LeadershipOffer { *successor, { *base, *end } };
     }
 
+    json::array writeProgress(const StoreProgress& progress)
+    {
+        json::array numbers { progress.era };
+        numbers.insert(numbers.end(), progress.changes.begin(), progress.changes.end());
+        return numbers;
+    }
+
+    // Returns no progress if the field is missing or malformed.
+    StoreProgress readProgress(const json::object& message)
+    {
+        const json::value* field = message.if_contains("progress");
+        const json::array* numbers = field ? field->if_array() : nullptr;
+        StoreProgress progress;
+        if (!numbers || numbers->size() != progress.changes.size() + 1)
+            return progress;
+        std::array<uint64_t, 4> read {};
+        for (size_t index = 0; index < read.size(); ++index) {
+            boost::system::error_code error;
+            read[index] = (*numbers)[index].is_number() ? (*numbers)[index].to_number<uint64_t>(error) : 0;
+            if (error || !(*numbers)[index].is_number())
+                return {};
+        }
+        progress.era = read[0];
+        std::copy(read.begin() + 1, read.end(), progress.changes.begin());
+        return progress;
+    }
+
     json::object writeCounts(const std::map<std::string, uint32_t, std::less<>>& counts)
     {
         json::object object;
@@ -169,6 +196,10 @@
     object["run"] = status.sender.incarnation;
     object["address"] = status.address;
     object["inFlight"] = detail::writeCounts(status.inFlight);
+    if (!status.zone.empty())
+        object["zone"] = status.zone;
+    if (status.progress != StoreProgress {})
+        object["progress"] = detail::writeProgress(status.progress);
     if (status.processorShare > 0)
         object["processor"] = status.processorShare;
     if (status.configuration)
@@ -219,6 +250,8 @@
                 status.slowness.emplace(endpoint, factor.to_number<double>(error));
     detail::readCounts(*object, "inFlight", status.inFlight);
     status.configuration = detail::readNumber(*object, "configuration").value_or(0);
+    status.zone = detail::readText(*object, "zone").value_or("");
+    status.progress = detail::readProgress(*object);
     const json::value* processor = object->if_contains("processor");
     if (processor && processor->is_number())
         status.processorShare = processor->to_number<double>(error);
--- a/direct/peers.h
+++ b/direct/peers.h
@@ -5,6 +5,7 @@
 #include "admission/endpoint-limits.h"
 #include "admission/rate-limit.h"
 #include "direct/handover.h"
+#include "direct/store-progress.h"
 #include "gateway/http.h"
 #include "retry/crash-parts.h"
 #include "retry/poison.h"
@@ -33,6 +34,9 @@
     // Limits that endpoints have named, and what the sender sent to limited and cold endpoints.
     NamedLimits limits;
     SentAges sent;
+    std::string zone;
+    // How far the sender has followed the store.
+    StoreProgress progress;
     // Processor time per second that the sender may use, in cores.
     double processorShare = 0;
     // The sender leads the expert maps.
--- a/direct/state.h
+++ b/direct/state.h
@@ -3,6 +3,7 @@
 
 #include "direct/catch-up.h"
 #include "direct/direct.h"
+#include "direct/feeders.h"
 #include "direct/keeper.h"
 #include "direct/live-peers.h"
 #include "direct/map-driver.h"
@@ -27,6 +28,13 @@
 
 namespace orioletrail {
 
+namespace detail {
+
+    // Added to the port of status messages: where an entry serves others what it reads from the store.
+    constexpr uint16_t feedPortOffset = 1;
+
+} // namespace detail
+
 // An endpoint with the client that connects to it.
 struct Target {
     EndpointRecord record;
@@ -169,6 +177,10 @@
     void onSnapshot(DirectorySnapshot);
     void updateTargets();
     PeerStatus ownStatus();
+    // Notes how far another entry has followed the store, and where it serves readers.
+    void onPeerProgress(const PeerStatus&);
+    // Tells the watcher which other entries to read from.
+    void updateFeeders(TimePoint);
     void onPeerStatus(PeerStatus);
     // Registers this entry in the store and adds all registered entries as peers. Runs on the control
     // thread.
@@ -228,7 +240,17 @@
     std::unique_ptr<StoreClient> store;
     std::unique_ptr<DirectoryKeeper> keeper;
     std::unique_ptr<InstanceRegistry> registry;
+    std::unique_ptr<StoreFeed> feed;
+    // Serves other entries what this one reads from the store, on the control thread.
+    std::unique_ptr<HttpServer> feedServer;
     std::unique_ptr<StoreWatcher> watcher;
+    std::unique_ptr<Feeders> feeders;
+    std::vector<std::string> currentFeeders;
+    // Whether the watcher has been told of feeders, or that there are none.
+    bool hasFeeders = false;
+    StoreProgress storeProgress;
+    // The farthest progress of all other entries.
+    StoreProgress peerProgress;
     std::unique_ptr<PeerExchange> peers;
     std::unique_ptr<MapDriver> mapDriver;
     // Endpoints that are slower than usual, with the factor by which they are, as measured by the
--- a/tests/direct-cluster.cc
+++ b/tests/direct-cluster.cc
@@ -15,6 +15,7 @@
     constexpr int readinessPortOffset = 2;
     constexpr int metricsPortOffset = 3;
     constexpr int peerPortOffset = 4;
+    constexpr int storeRelayPortOffset = 8;
     constexpr int firstEndpointPortOffset = 10;
     // Ports of the entries after the first.
     constexpr int secondEntryPortOffset = 20;
@@ -112,11 +113,17 @@
     m_entries[entry] = std::make_unique<Process>(std::vector<std::string> { binaryPath("orioletrail"), "direct", "--metrics-port", std::to_string(entryBasePort(entry) + metricsPortOffset) }, options);
 }
 
+void DirectCluster::startEntryBehindRelay(int entry)
+{
+    m_storeRelays[entry] = std::make_unique<Process>(std::vector<std::string> { binaryPath("orioletrail-fakes"), "relay", "--listen", localAddress(entryBasePort(entry) + storeRelayPortOffset), "--target", localAddress(m_basePort) });
+    startEntry(entry);
+}
+
 void DirectCluster::writeSettings(int entry) const
 {
     const int base = entryBasePort(entry);
     std::ofstream file(m_directory.path("settings" + (entry ? std::to_string(entry) : std::string())));
-    file << "node=entry-" << entry + 1 << "\nzone=z1\nip=127.0.0.1\nplatform.addr=" << localAddress(m_basePort) << "\nlisten.front=" << localAddress(base + callerPortOffset)
+    file << "node=entry-" << entry + 1 << "\nzone=z1\nip=127.0.0.1\nplatform.addr=" << localAddress(m_storeRelays.contains(entry) ? base + storeRelayPortOffset : m_basePort) << "\nlisten.front=" << localAddress(base + callerPortOffset)
          << "\nlisten.ready=" << localAddress(base + readinessPortOffset) << "\ninternal_ports=" << base + peerPortOffset << ',' << base + peerPortOffset + 2
          << "\nbounds.grace_s=8\nbounds.budget_slack=" << retrySlack << '\n';
 }
@@ -191,6 +198,12 @@
     callOnce(localAddress(m_basePort), { "POST", "/restore?age_ms=" + std::to_string(age.count()), {}, {} });
 }
 
+int64_t DirectCluster::storeReads()
+{
+    const json::value record = json::parse(callOnce(localAddress(m_basePort), { "GET", "/record", {}, {} }).body);
+    return record.at("reads").to_number<int64_t>();
+}
+
 std::string DirectCluster::listObjects(const std::string& kind)
 {
     return callOnce(localAddress(m_basePort), { "GET", "/orioletrail/objects/" + kind, {}, {} }).body;
@@ -263,6 +276,15 @@
     return runs;
 }
 
+bool DirectCluster::hasLogged(int entry, std::string_view message) const
+{
+    const std::vector<json::object> lines = readLines(m_directory.path("log" + (entry ? std::to_string(entry) : std::string())));
+    return std::any_of(lines.begin(), lines.end(), [&](const json::object& line) {
+        const json::value* text = line.if_contains("message");
+        return text && text->is_string() && text->get_string() == message;
+    });
+}
+
 std::vector<json::object> DirectCluster::logLines(const std::string& id) const
 {
     std::vector<json::object> lines;
--- a/tests/direct-cluster.h
+++ b/tests/direct-cluster.h
@@ -24,6 +24,9 @@
 
     // Start a process, or replace it if it was started before (a running one is killed).
     void startEntry(int entry = 0);
+    // The same for an entry that reaches the store through a relay, see fakes/relay.h.
+    void startEntryBehindRelay(int entry);
+    Process& storeRelay(int entry) { return *m_storeRelays.at(entry); }
     Process& entry(int number = 0) { return *m_entries.at(number); }
     void startEndpoint(const std::string& name);
     Process& endpoint(const std::string& name) { return *m_endpoints.at(name); }
@@ -52,6 +55,8 @@
     void registerEndpoint(const std::string& name, const std::string& state = "ready");
     // Replaces the store's content by a copy of this age.
     void restoreStore(Millis age);
+    // Reading calls that the store has answered so far.
+    int64_t storeReads();
     // The store's answer to a request for all objects of a kind, as JSON.
     std::string listObjects(const std::string& kind);
     void putConfiguration(uint64_t version, const std::string& key = "key-1", const std::string& lookupPrefix = "/lookup/", const std::string& account = "bakery");
@@ -72,6 +77,9 @@
     // Number of requests that each endpoint ran; endpoints without any are missing.
     std::map<std::string, int> runsByEndpoint() const;
 
+    // True if an entry has logged this message.
+    bool hasLogged(int entry, std::string_view message) const;
+
     // Log lines of the first entry about the request with this id, or all lines if `id` is empty.
     std::vector<boost::json::object> logLines(const std::string& id) const;
 
@@ -96,6 +104,7 @@
     // Number of starts of each endpoint, registered as "born" so that entries notice a restart.
     std::map<std::string, int> m_startCounts;
     std::map<std::string, std::unique_ptr<Process>> m_endpoints;
+    std::map<int, std::unique_ptr<Process>> m_storeRelays;
     std::map<int, std::unique_ptr<Process>> m_entries;
 };
 
