--- a/tests/pair-failure-test.cc
+++ b/tests/pair-failure-test.cc
@@ -59,8 +59,11 @@
     CHECK(verdict.isClean());
     CHECK(resultCount(verdict, "order", "answered") > 0);
     // After the faults every entry serves requests again.
-    for (int zone = 1; zone <= 3; ++zone)
-        CHECK(cluster.call(cluster.entryAddress(zone), "GET", "/services/print/orders/1").status == 200);
+    for (int zone = 1; zone <= 3; ++zone) {
+        const HttpResult result = cluster.call(cluster.entryAddress(zone), "GET", "/services/print/orders/1");
+        CAPTURE(result.body);
+        CHECK(result.status == 200);
+    }
 }
 
 } // namespace
