Test that an endpoint whose address has a later process is not used

Fails: after a loss of power of the whole large site, 862 of 1,401 refusals in one second were wrong-endpoint, sent to identifiers that had ended.

--- a/directory/beliefs-test.cc
+++ b/directory/beliefs-test.cc
@@ -112,3 +112,27 @@
     CHECK(state.snapshot().endpoints.contains("a"));
     CHECK_FALSE(state.snapshot().endpoints.at("c").leaving);
 }
+
+TEST_CASE("an endpoint at whose address a later process has registered is no longer used")
+{
+    const auto makeAt = [](std::string id, uint16_t port, uint64_t processStartMs) {
+        EndpointRecord record = makeEndpoint(std::move(id));
+        record.host = "10.0.0.1";
+        record.port = port;
+        record.processStartMs = processStartMs;
+        return record;
+    };
+    DirectoryState state = makeState();
+    state.onEndpointsListed({ makeAt("a", 80, 1000), makeAt("b", 81, 1000), makeAt("c", 82, 0) }, start);
+    CHECK(state.snapshot().endpoints.size() == 3);
+    // After a loss of power all have new identifiers, and the store drops the old ones only seconds later.
+    state.onEndpointChanged(makeAt("a2", 80, 5000), start);
+    state.onEndpointChanged(makeAt("c2", 82, 5000), start);
+    CHECK_FALSE(state.snapshot().endpoints.contains("a"));
+    CHECK(state.snapshot().endpoints.contains("a2"));
+    CHECK(state.snapshot().endpoints.contains("b"));
+    // Nothing is known of the start of this one.
+    CHECK(state.snapshot().endpoints.contains("c"));
+    state.onEndpointRemoved("a2", start);
+    CHECK_FALSE(state.snapshot().endpoints.contains("a2"));
+}
