Use no endpoint at whose address a later process has registered

Cause: an old record stays usable although another one, with a later start, has the same address. Ruled out: a late list of endpoints; the new records were there.

--- a/directory/beliefs.cc
+++ b/directory/beliefs.cc
@@ -69,6 +69,21 @@
         remove(id, now);
 }
 
+DirectorySnapshot DirectoryState::snapshot() const
+{
+    std::map<std::pair<std::string_view, uint16_t>, uint64_t> latestStarts;
+    for (const auto& [id, record] : m_endpoints) {
+        uint64_t& latest = latestStarts[{ record.host, record.port }];
+        latest = std::max(latest, record.processStartMs);
+    }
+    DirectorySnapshot snapshot { m_catalog, m_endpoints, m_closedZones };
+    std::erase_if(snapshot.endpoints, [&](const auto& item) {
+        const EndpointRecord& record = item.second;
+        return !record.host.empty() && record.processStartMs && record.processStartMs < latestStarts.at({ record.host, record.port });
+    });
+    return snapshot;
+}
+
 bool DirectoryState::mayBeOld(TimePoint now) const
 {
     return m_restoredGraceEnd && now < *m_restoredGraceEnd;
--- a/directory/beliefs.h
+++ b/directory/beliefs.h
@@ -78,7 +78,9 @@
     // True once a configuration and a list of endpoints have been received.
     bool isComplete() const { return m_catalog && m_hasEndpointList; }
 
-    DirectorySnapshot snapshot() const { return { m_catalog, m_endpoints, m_closedZones }; }
+    // Without endpoints at whose address a later process has registered: they have ended, although the
+    // store still lists them.
+    DirectorySnapshot snapshot() const;
 
 private:
     bool isInGrace(TimePoint) const;
