Do not count connections that were refused against the tries of a request

Such attempts cost no endpoint anything and are over at once, so up to eight more are made; the next endpoint is another one, since the refused one is avoided.

--- a/direct/request.cc
+++ b/direct/request.cc
@@ -194,8 +194,10 @@
 
 bool DirectEntry::State::mayRetry(DirectJob& job, const DirectAttemptResult& result)
 {
-    // Attempts that endpoints rejected without running them may exceed the route's maximum by this many.
+    // Attempts that endpoints rejected without running them may exceed the route's maximum by this many,
+    // and those that reached no endpoint by more, since they are over at once.
     constexpr uint32_t maxExtraRejected = 2;
+    constexpr uint32_t maxExtraUnsent = 8;
     if (job.callerGone || Clock::now() >= job.deadline || result.reason == Reason::CallerGone)
         return false;
     const bool isIdempotent = job.route->idempotency == Idempotency::Idempotent;
@@ -205,7 +207,8 @@
         return false;
     if (job.streamBegun && (!job.route->resumable || job.events.lastId().empty()))
         return false;
-    if (job.acceptedAttempts >= job.route->maxAttempts || job.attempts >= job.route->maxAttempts + maxExtraRejected)
+    const uint32_t maxSent = job.route->maxAttempts + maxExtraRejected;
+    if (job.acceptedAttempts >= job.route->maxAttempts || job.sentAttempts >= maxSent || job.attempts >= maxSent + maxExtraUnsent)
         return false;
     if (!job.sentAttempts)
         return true;
