Replace a leader sooner that falls silent during a change of the map

The leader now tells that it is changing a map, from the preparation on, and is replaced after 0.5 s of silence instead of 1 s.

--- a/direct/map-driver.cc
+++ b/direct/map-driver.cc
@@ -82,7 +82,8 @@
 void MapDriver::tick(TimePoint now)
 {
     if (!m_leadership) {
-        const Millis timeout = m_hooks.isPreferredLeader() ? m_settings.leaderTimeout : detail::nonPreferredDelayFactor * m_settings.leaderTimeout;
+        const Millis silence = m_isLeaderChanging ? m_settings.leaderTimeoutDuringChange : m_settings.leaderTimeout;
+        const Millis timeout = m_hooks.isPreferredLeader() ? silence : detail::nonPreferredDelayFactor * silence;
         if (m_isAcquiring || m_isStopping || now - m_leaderHeardAt < timeout || m_hooks.engines().empty())
             return;
         m_isAcquiring = true;
@@ -154,6 +155,7 @@
     const TimePoint now = Clock::now();
     // Also delays the next attempt if this one failed.
     m_leaderHeardAt = now;
+    m_isLeaderChanging = false;
     if (!number || m_isStopping)
         co_return;
     startLeading({ *number * m_settings.numbersPerLeadership, (*number + 1) * m_settings.numbersPerLeadership });
@@ -190,6 +192,18 @@
     m_leadership.reset();
     m_groups.clear();
     m_leaderHeardAt = Clock::now();
+    m_isLeaderChanging = false;
+}
+
+void MapDriver::onLeaderHeard(bool isChanging, TimePoint now)
+{
+    m_leaderHeardAt = now;
+    m_isLeaderChanging = isChanging;
+}
+
+bool MapDriver::isChanging() const
+{
+    return std::any_of(m_groups.begin(), m_groups.end(), [](const auto& group) { return group.second->leader.phase() >= MapPhase::Preparing; });
 }
 
 Task<> MapDriver::refreshSidecars()
--- a/direct/map-driver.h
+++ b/direct/map-driver.h
@@ -53,8 +53,10 @@
     // Size of the range of fences and versions of one leadership. When it is used up, the leadership
     // has to be acquired again.
     uint64_t numbersPerLeadership = 65'536;
-    // Another instance may become leader if the present one has been silent for this long.
+    // Another instance may become leader if the present one has been silent for this long, and if it was
+    // changing a map, since a group may be held meanwhile.
     Millis leaderTimeout { 1000 };
+    Millis leaderTimeoutDuringChange { 500 };
 };
 
 // What a plan is made from.
@@ -92,8 +94,11 @@
     // Does all work that is due. Call it several times per forward pass of the engines.
     void tick(TimePoint);
 
-    // Another instance has announced that it leads.
-    void onLeaderHeard(TimePoint now) { m_leaderHeardAt = now; }
+    // Another instance has announced that it leads, and whether it is changing a map.
+    void onLeaderHeard(bool isChanging, TimePoint);
+
+    // True if this instance leads and is changing a map.
+    bool isChanging() const;
 
     // Completes changes under way, then gives up the leadership for good.
     void stop() { m_isStopping = true; }
@@ -204,6 +209,7 @@
     bool m_isStopping = false;
     // When another instance last announced that it leads, or this one resigned or tried to lead.
     TimePoint m_leaderHeardAt = Clock::now();
+    bool m_isLeaderChanging = false;
     TimePoint m_lastReportAt;
     // When all engines were last asked for reports directly.
     TimePoint m_directReportsAt;
--- a/direct/peer-messages.cc
+++ b/direct/peer-messages.cc
@@ -166,6 +166,7 @@
     status.processorShare = platform.processorShare;
     status.leading = mapDriver->isLeading();
     status.stopping = stoppingSince.has_value();
+    status.changingMap = mapDriver->isChanging();
     if (status.leading)
         status.slowness = mapDriver->slowEndpoints();
     if (mapDriver->releasedLeadership())
@@ -180,7 +181,7 @@
     addKnownInstance(status.sender.instance);
     catchUp.onPeer(status.sender.instance, status.address, status.configuration, std::move(status.closedZones), Clock::now());
     if (status.leading) {
-        mapDriver->onLeaderHeard(Clock::now());
+        mapDriver->onLeaderHeard(status.changingMap, Clock::now());
         updateSlowness(std::move(status.slowness));
     }
     if (dispatcher->onPeerRates(status.sender.instance, status.limits, status.sent, Clock::now())) {
--- a/direct/peers-test.cc
+++ b/direct/peers-test.cc
@@ -37,6 +37,7 @@
     status.limits = { { "e-1", { 17'000'000'000'000'000'003U, 2.25, Millis(30) } } };
     status.sent = { { "e-1", { Millis(0), Millis(3900) } } };
     status.leading = true;
+    status.changingMap = true;
     status.stopping = true;
     status.offer = LeadershipOffer { { "entry-2", 5 }, { 65'600, 131'072 } };
     status.slowness = { { "e-1", 4.5 } };
@@ -58,6 +59,7 @@
     CHECK(read->configuration == 42);
     CHECK(read->processorShare == 0.5);
     CHECK(read->zone == "z1");
+    CHECK(read->changingMap);
     CHECK(read->progress == status.progress);
     CHECK(decodePeerStatus(R"({"instance":"a","run":1,"address":"x","progress":[1,2,"x",4]})")->progress == StoreProgress {});
     CHECK(read->closedZones == status.closedZones);
@@ -148,3 +150,31 @@
     second.takeOver(*first.releasedLeadership());
     CHECK(second.isLeading());
 }
+
+TEST_CASE("a leader that falls silent during a change of the map is replaced sooner, since the group may be held")
+{
+    boost::asio::io_context context;
+    Metrics metrics;
+    int acquired = 0;
+    MapDriver::Hooks hooks;
+    hooks.engines = [] { return std::vector<EngineAccess>(1); };
+    hooks.isPreferredLeader = [] { return true; };
+    hooks.acquireLeadership = [&]() -> Task<std::optional<uint64_t>> {
+        ++acquired;
+        co_return std::nullopt;
+    };
+    MapDriver driver(context.get_executor(), context.get_executor(), {}, hooks, metrics);
+    const TimePoint now = Clock::now();
+    const auto attemptsAfter = [&](bool isChanging, Millis silence) {
+        acquired = 0;
+        driver.onLeaderHeard(isChanging, now);
+        driver.tick(now + silence);
+        context.restart();
+        context.poll();
+        return acquired;
+    };
+    CHECK(attemptsAfter(false, Millis(600)) == 0);
+    CHECK(attemptsAfter(false, Millis(1100)) == 1);
+    CHECK(attemptsAfter(true, Millis(400)) == 0);
+    CHECK(attemptsAfter(true, Millis(600)) == 1);
+}
--- a/direct/peers.cc
+++ b/direct/peers.cc
@@ -214,6 +214,8 @@
     writeCrashReport(status.crashes, object);
     if (status.leading) {
         object["leading"] = true;
+        if (status.changingMap)
+            object["changingMap"] = true;
         json::object slowness;
         for (const auto& [endpoint, factor] : status.slowness)
             slowness.emplace(endpoint, factor);
@@ -241,6 +243,7 @@
     status.sender = *sender;
     status.address = *address;
     status.leading = detail::readFlag(*object, "leading");
+    status.changingMap = detail::readFlag(*object, "changingMap");
     status.stopping = detail::readFlag(*object, "stopping");
     status.offer = detail::readOffer(*object);
     const json::value* slowness = object->if_contains("slowness");
--- a/direct/peers.h
+++ b/direct/peers.h
@@ -41,6 +41,8 @@
     double processorShare = 0;
     // The sender leads the expert maps.
     bool leading = false;
+    // The sender leads and is changing a map.
+    bool changingMap = false;
     // The sender is shutting down.
     bool stopping = false;
     // Set by a stopping sender that led the expert maps.
