Give each entry an order of its own among equally loaded endpoints

53 entries that know each other's requests 100 ms late all chose the same of several equal endpoints.

--- a/direct/direct.cc
+++ b/direct/direct.cc
@@ -73,7 +73,7 @@
         reason = "the settings name no valid address for the store, or none for callers or for readiness checks";
         return false;
     }
-    dispatcher = std::make_unique<Dispatcher>(platform.zone);
+    dispatcher = std::make_unique<Dispatcher>(platform.zone, DispatchRules {}, platform.instance);
     PoisonSettings poisonSettings;
     poisonSettings.refuseAfter = detail::maxDeathsPerRequest;
     poison = PoisonRecords(poisonSettings);
--- a/dispatch/dispatcher.cc
+++ b/dispatch/dispatcher.cc
@@ -59,6 +59,9 @@
             m_health.removeEndpoint(id);
     }
     m_snapshot = snapshot;
+    m_preferences.clear();
+    for (const auto& [id, record] : m_snapshot.endpoints)
+        m_preferences.emplace(id, m_instance.empty() ? 0 : endpointPreference(m_instance, id));
 }
 
 void Dispatcher::setSlowness(std::map<std::string, double, std::less<>> slowness, TimePoint now)
@@ -100,6 +103,7 @@
         option.endpoint = record->id;
         option.zone = record->zone;
         option.load = m_loads.estimate(record->id, now);
+        option.preference = m_preferences.at(record->id);
         option.limit = (isEngine ? 1 : detail::plainLoadPerSlot) * record->slots;
         const double firstByte = detail::toMillis(m_health.meanFirstByte(record->id));
         if (service && !isEngine && firstByte > 0 && sumFirstByte > 0)
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -65,8 +65,10 @@
 // clock, so that tests and the simulation can drive it exactly as an entry does.
 class Dispatcher {
 public:
-    explicit Dispatcher(std::string zone, const DispatchRules& rules = {})
+    // `instance` determines the order in which equally loaded endpoints are chosen.
+    explicit Dispatcher(std::string zone, const DispatchRules& rules = {}, std::string instance = {})
         : m_zone(std::move(zone))
+        , m_instance(std::move(instance))
         , m_rules(rules)
     {
     }
@@ -176,9 +178,12 @@
     bool isRateLimited(const EndpointRecord&, TimePoint) const;
 
     std::string m_zone;
+    std::string m_instance;
     DispatchRules m_rules;
     size_t m_knownInstances = 0;
     DirectorySnapshot m_snapshot;
+    // Preference for each endpoint.
+    std::map<std::string, double, std::less<>> m_preferences;
     std::map<std::string, ServiceState, std::less<>> m_services;
     LoadTable m_loads;
     EndpointHealth m_health;
--- a/routing/placer-test.cc
+++ b/routing/placer-test.cc
@@ -5,6 +5,7 @@
 #include <array>
 #include <doctest/doctest.h>
 #include <random>
+#include <set>
 
 using namespace orioletrail;
 
@@ -128,3 +129,75 @@
     table.onEnded("a");
     CHECK(table.ownCount("a") == 0);
 }
+
+TEST_CASE("many entries with late counts neither overload the same endpoints nor connect to all")
+{
+    constexpr int entries = 53;
+    constexpr int ranks = 129;
+    constexpr int slots = 6;
+    struct Running {
+        int entry = 0;
+        int rank = 0;
+        TimePoint ends;
+    };
+    // Requests that arrived at a rank with no free slot, and pairs of entries and ranks with a request.
+    struct Outcome {
+        int rejected = 0;
+        size_t pairs = 0;
+    };
+    const auto play = [](bool hasPreferences) {
+        std::array<LoadTable, entries> tables;
+        std::mt19937_64 random(7);
+        std::vector<std::string> names;
+        for (int rank = 0; rank < ranks; ++rank)
+            names.push_back("rank-" + std::to_string(rank));
+        std::vector<Running> running;
+        std::array<int, ranks> held {};
+        std::set<std::pair<int, int>> pairs;
+        Outcome outcome;
+        TimePoint now = start;
+        // 330 requests per second that take 1 to 2 seconds each, in two of three slots.
+        for (int step = 0; step < 6000; ++step) {
+            now += Millis(3);
+            // Entries exchange their counts ten times a second, one after the other.
+            if (const int from = step % 33; from < 27)
+                for (const int sender : { from, from + 26 })
+                    for (int to = 0; to < entries; ++to)
+                        if (sender != to && sender < entries)
+                            tables[to].onPeerCounts("entry-" + std::to_string(sender), tables[sender].ownCounts(), now);
+            std::erase_if(running, [&](const Running& job) {
+                if (job.ends > now)
+                    return false;
+                tables[job.entry].onEnded(names[job.rank]);
+                --held[job.rank];
+                return true;
+            });
+            const int entry = static_cast<int>(random() % entries);
+            std::vector<PlaceOption> options;
+            for (const std::string& name : names) {
+                options.push_back(option(name, tables[entry].estimate(name, now)));
+                options.back().limit = slots;
+                options.back().preference = hasPreferences ? endpointPreference("entry-" + std::to_string(entry), name) : 0;
+            }
+            const PlaceChoice placement = placeRequest(options, "z1");
+            if (placement.failure != PlaceFailure::None)
+                continue;
+            const int rank = static_cast<int>(placement.index);
+            pairs.emplace(entry, rank);
+            if (held[rank] >= slots) {
+                ++outcome.rejected;
+                continue;
+            }
+            tables[entry].onSent(names[rank]);
+            ++held[rank];
+            running.push_back({ entry, rank, now + Millis(1000 + random() % 1000) });
+        }
+        outcome.pairs = pairs.size();
+        return outcome;
+    };
+    const Outcome alike = play(false);
+    const Outcome different = play(true);
+    MESSAGE("rejected ", alike.rejected, " and ", different.rejected, ", pairs ", alike.pairs, " and ", different.pairs);
+    CHECK(different.rejected * 3 < alike.rejected * 2);
+    CHECK(different.pairs < alike.pairs);
+}
--- a/routing/placer.cc
+++ b/routing/placer.cc
@@ -1,5 +1,7 @@
 #include "routing/placer.h"
 
+#include "base/digest.h"
+
 #include <limits>
 
 namespace orioletrail {
@@ -11,6 +13,8 @@
     constexpr double failureWeight = 8;
     // Small, so that another zone is chosen only if the load there is lower.
     constexpr double otherZonePenalty = 0.25;
+    // Less than one request together with the penalty for another zone.
+    constexpr double preferenceWeight = 0.7;
     // Larger than any difference in load.
     constexpr double avoidedPenalty = 1e3;
     constexpr double triedPenalty = 1e6;
@@ -20,6 +24,7 @@
         double cost = (option.load + 1) * option.slowness * (1 + failureWeight * option.failureShare);
         if (option.zone != zone)
             cost += otherZonePenalty;
+        cost += preferenceWeight * option.preference;
         if (option.avoided)
             cost += avoidedPenalty;
         if (option.tried)
@@ -29,6 +34,12 @@
 
 } // namespace detail
 
+double endpointPreference(std::string_view instance, std::string_view endpoint)
+{
+    constexpr double range = 18'446'744'073'709'551'616.0;
+    return static_cast<double>(rendezvousScore(instance, endpoint)) / range;
+}
+
 PlaceChoice placeRequest(std::span<const PlaceOption> options, std::string_view zone)
 {
     PlaceChoice best { PlaceFailure::NoneOpen, 0 };
--- a/routing/placer.h
+++ b/routing/placer.h
@@ -19,6 +19,8 @@
     double slowness = 1;
     // Share of its answers that are failures, 0 to 1.
     double failureShare = 0;
+    // Among equally loaded endpoints those with a lower value are chosen first, 0 to 1.
+    double preference = 0;
     // It may not get requests now: it is leaving, in a closed zone, or cold with its rate limit
     // reached.
     bool closed = false;
@@ -42,6 +44,11 @@
     size_t index = 0;
 };
 
+// The preference of an instance for an endpoint. Instances that know the load of others late would choose
+// the same one of several equally loaded endpoints and overload it; each has an order of its own instead,
+// and comes back to endpoints that it has connections to.
+double endpointPreference(std::string_view instance, std::string_view endpoint);
+
 // Chooses the endpoint with the lowest load after adding the request, weighted by its slowness and
 // failures; among equals one in `zone`. This suits engines whose ranks run in lock-step, where the
 // most loaded rank determines the speed of all, and plain services with one slow or failing
