--- a/admission/credits-test.cc
+++ b/admission/credits-test.cc
@@ -1,6 +1,8 @@
 #include "admission/credits.h"
 
+#include <deque>
 #include <doctest/doctest.h>
+#include <map>
 #include <random>
 
 using namespace orioletrail;
@@ -116,3 +118,106 @@
         }
     }
 }
+
+TEST_CASE("no credit is lost between a pool and entries that open, finish and return at random, and none lies idle for ever")
+{
+    // What an entry knows: its credits, and the messages on their way to it.
+    struct EntryModel {
+        uint32_t credits = 0;
+        uint32_t waiting = 0;
+        uint32_t running = 0;
+        std::deque<int32_t> messages;
+    };
+    for (uint64_t seed = 1; seed <= 200; ++seed) {
+        CAPTURE(seed);
+        std::mt19937_64 random(seed);
+        CreditPool pool;
+        std::map<uint64_t, EntryModel> entries;
+        for (uint64_t connection = 1; connection <= 3; ++connection) {
+            pool.connect(connection);
+            entries[connection];
+        }
+        const auto rebalance = [&] {
+            for (const CreditChange& change : pool.rebalance())
+                entries[change.connection].messages.push_back(change.credits);
+        };
+        const auto setDemand = [&](uint64_t connection) { pool.setDemand(connection, entries[connection].waiting + entries[connection].running); };
+        const auto receive = [&](uint64_t connection) {
+            EntryModel& entry = entries[connection];
+            if (entry.messages.empty())
+                return;
+            const int32_t change = entry.messages.front();
+            entry.messages.pop_front();
+            if (change > 0) {
+                entry.credits += static_cast<uint32_t>(change);
+                return;
+            }
+            const uint32_t returned = std::min(entry.credits, static_cast<uint32_t>(-change));
+            entry.credits -= returned;
+            pool.returnCredits(connection, returned);
+            rebalance();
+        };
+        const auto open = [&](uint64_t connection) {
+            EntryModel& entry = entries[connection];
+            if (!entry.credits || !entry.waiting)
+                return;
+            --entry.credits;
+            --entry.waiting;
+            if (pool.tryOpen(connection) == Reason::None)
+                ++entry.running;
+            setDemand(connection);
+            rebalance();
+        };
+        const auto finish = [&](uint64_t connection) {
+            EntryModel& entry = entries[connection];
+            if (!entry.running)
+                return;
+            --entry.running;
+            pool.finish();
+            setDemand(connection);
+            rebalance();
+        };
+        pool.setLimit(16);
+        rebalance();
+        for (int step = 0; step < 300; ++step) {
+            const uint64_t connection = 1 + random() % 3;
+            switch (random() % 6) {
+            case 0:
+                entries[connection].waiting += random() % 8;
+                setDemand(connection);
+                rebalance();
+                break;
+            case 1:
+                pool.setLimit(random() % 2 ? 1 : 16);
+                rebalance();
+                break;
+            case 2:
+            case 3:
+                receive(connection);
+                break;
+            case 4:
+                open(connection);
+                break;
+            default:
+                finish(connection);
+            }
+        }
+        // All settles: every waiting attempt runs in the end.
+        pool.setLimit(16);
+        for (int round = 0; round < 300; ++round)
+            for (const uint64_t connection : { 1, 2, 3 }) {
+                rebalance();
+                receive(connection);
+                open(connection);
+                finish(connection);
+            }
+        uint32_t known = 0;
+        for (const auto& [connection, entry] : entries) {
+            CHECK(entry.waiting == 0);
+            known += entry.credits;
+            for (const int32_t change : entry.messages)
+                known += static_cast<uint32_t>(std::max(0, change));
+        }
+        CHECK(pool.held() == known);
+    }
+}
--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -142,6 +142,23 @@
     return localAddress(endpointPort(name));
 }
 
+std::string Cluster::gauges() const
+{
+    std::string gauges;
+    const auto append = [&](const std::string& name, const std::string& address) {
+        std::istringstream lines(callOnce(address, { "GET", "/metrics", {}, {} }).body);
+        for (std::string line; std::getline(lines, line);)
+            if (!line.starts_with('#') && line.find("_total") == std::string::npos && line.find("_seconds") == std::string::npos)
+                gauges += name + ' ' + line + '\n';
+    };
+    for (int zone = 1; zone <= m_options.zones; ++zone)
+        append("e" + std::to_string(zone), adminAddress(zone));
+    for (const std::string& name : endpointNames())
+        if (!isModelEndpoint(name))
+            append(name, localAddress(endpointPort(name) + 2));
+    return gauges;
+}
+
 std::string Cluster::sidecarAddress(const std::string& name) const
 {
     return localAddress(endpointPort(name) + 1);
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -72,6 +72,8 @@
     std::string platformAddress() const;
     std::string endpointAddress(const std::string& name) const;
     std::string sidecarAddress(const std::string& name) const;
+    // The gauges of all entries and of the sidecars of the service "print", one a line.
+    std::string gauges() const;
 
     // Runs `orioletrail ctl` with the given command against the entry of a zone.
     CommandOutput runCtl(const std::string& line, int zone = 1);
--- a/tests/pair-failure-test.cc
+++ b/tests/pair-failure-test.cc
@@ -62,6 +62,8 @@
     for (int zone = 1; zone <= 3; ++zone) {
         const HttpResult result = cluster.call(cluster.entryAddress(zone), "GET", "/services/print/orders/1");
         CAPTURE(result.body);
+        const std::string gauges = result.status == 200 ? "" : cluster.gauges();
+        CAPTURE(gauges);
         CHECK(result.status == 200);
     }
 }
