--- a/expertmap/map-leader-test.cc
+++ b/expertmap/map-leader-test.cc
@@ -258,8 +258,14 @@
             if (randomBelow(20) == 0)
                 leader.startChange(ExpertMap(), m_now);
         }
-        for (MapOrder& order : leader.orders(m_now))
+        for (MapOrder& order : leader.orders(m_now)) {
+            // Orders to prepare may have to wait for others.
+            if (order.kind == MapOrderKind::Prepare && randomBelow(3) == 0) {
+                leader.postpone(order);
+                continue;
+            }
             send(index, std::move(order), faults);
+        }
     }
 
     void send(size_t index, MapOrder order, bool faults)
