--- a/direct/map-driver.cc
+++ b/direct/map-driver.cc
@@ -109,9 +109,10 @@
             resign("the numbers for fences and versions are used up");
             return;
         }
-        if (!group->isReading && now >= group->nextReadingAt) {
+        const Millis interval = reportsThroughSidecars(*group, now) ? m_settings.countInterval : m_settings.directCountInterval;
+        if (!group->isReading && now - group->lastReadingAt >= interval) {
             group->isReading = true;
-            group->nextReadingAt = now + (reportsThroughSidecars(*group, now) ? m_settings.countInterval : m_settings.directCountInterval);
+            group->lastReadingAt = now;
             asio::co_spawn(m_executor, readAndPlan(group), asio::detached);
         }
     }
--- a/direct/map-driver.h
+++ b/direct/map-driver.h
@@ -151,7 +151,7 @@
         uint64_t mapEpoch = 0;
         // Counts are being read.
         bool isReading = false;
-        TimePoint nextReadingAt;
+        TimePoint lastReadingAt;
         // A change is being planned.
         bool isPlanning = false;
         // Orders to prepare that wait for an answer, and the request that they share.
