--- a/direct/map-driver-test.cc
+++ b/direct/map-driver-test.cc
@@ -126,23 +126,24 @@
 
     unsigned order(Rank& rank, const json::object& order)
     {
+        constexpr unsigned accepted = 202;
+        constexpr unsigned conflict = 409;
         const std::string_view op = order.at("op").as_string();
         const auto number = [&](std::string_view name) { return order.at(name).to_number<uint64_t>(); };
+        const bool isLate = (op == "hold" || op == "arm") && number("step") <= m_step;
+        if (isLate || (op == "arm" && rank.prepared != number("version")))
+            return conflict;
         if (op == "prepare")
             rank.prepared = number("version");
         else if (op == "disarm")
             rank.armed.reset();
         else if (op == "go")
             rank.held.reset();
-        else if (number("step") <= m_step)
-            return 409;
         else if (op == "hold")
             rank.held = number("step");
-        else if (rank.prepared == number("version"))
-            rank.armed = { number("version"), number("step") };
         else
-            return 409;
-        return 202;
+            rank.armed = { number("version"), number("step") };
+        return accepted;
     }
 
     asio::io_context& m_context;
@@ -169,11 +170,11 @@
     profile.expertsPerRank = 3;
     profile.newExpertsPerChange = 2;
     profile.expertCopyTime = Millis(6);
-    const std::vector<EngineAccess> engines = group.accesses(false);
-    const std::vector<EngineAccess> sidecars = group.accesses(true);
+    std::vector<EngineAccess> engines = group.accesses(false);
+    std::vector<EngineAccess> sidecars = group.accesses(true);
     MapDriver::Hooks hooks;
-    hooks.engines = [&] { return engines; };
-    hooks.sidecars = [&]() -> Task<std::optional<std::vector<EngineAccess>>> { co_return sidecars; };
+    hooks.engines = [&engines]() -> std::vector<EngineAccess> { return engines; };
+    hooks.sidecars = [&sidecars]() -> Task<std::optional<std::vector<EngineAccess>>> { co_return sidecars; };
     hooks.profile = [&](const std::string&) { return &profile; };
     hooks.expectedGapRatio = [](const std::string&, double) { return 1.0; };
     MapDriver driver(context.get_executor(), planner.get_executor(), {}, hooks, metrics);
--- a/routing/placer-test.cc
+++ b/routing/placer-test.cc
@@ -149,6 +149,7 @@
         std::array<LoadTable, entries> tables;
         std::mt19937_64 random(7);
         std::vector<std::string> names;
+        names.reserve(ranks);
         for (int rank = 0; rank < ranks; ++rank)
             names.push_back("rank-" + std::to_string(rank));
         std::vector<Running> running;
@@ -174,6 +175,7 @@
             });
             const int entry = static_cast<int>(random() % entries);
             std::vector<PlaceOption> options;
+            options.reserve(names.size());
             for (const std::string& name : names) {
                 options.push_back(option(name, tables[entry].estimate(name, now)));
                 options.back().limit = slots;
--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -149,7 +149,7 @@
         std::istringstream lines(callOnce(address, { "GET", "/metrics", {}, {} }).body);
         for (std::string line; std::getline(lines, line);)
             if (!line.starts_with('#') && line.find("_total") == std::string::npos && line.find("_seconds") == std::string::npos)
-                gauges += name + ' ' + line + '\n';
+                ((gauges += name) += ' ') += line + '\n';
     };
     for (int zone = 1; zone <= m_options.zones; ++zone)
         append("e" + std::to_string(zone), adminAddress(zone));
