Serve others nothing when the store turns this entry away, and forget peers that are gone

Found by reading: while one kind's watch was refused by the store, the others could wait in silence for 10 s and were still served to followers. Any refused or lost watch of an entry with readers now makes all kinds suspect. Answers of one watch never lower the revision that is known. Peers that have been silent for a minute and clients of former feeders are dropped.

--- a/direct/feeders.cc
+++ b/direct/feeders.cc
@@ -13,6 +13,7 @@
     constexpr size_t readersPerZone = 2;
     // A peer without a status message for this long is left out: six missed ones.
     constexpr Millis feederTimeout { 600 };
+    constexpr Millis forgetAfter { 60'000 };
     // Sources that are tried before the store, so that an entry that reaches none of them soon reads the
     // store.
     constexpr size_t maxSources = 4;
@@ -21,6 +22,7 @@
 
 void Feeders::onPeer(std::string_view instance, std::string_view zone, std::string_view address, double processorShare, bool isStopping, TimePoint now)
 {
+    std::erase_if(m_peers, [&](const auto& peer) { return now - peer.second.received > detail::forgetAfter; });
     m_peers.insert_or_assign(std::string(instance), Entry { std::string(instance), std::string(zone), std::string(address), processorShare, isStopping, now });
 }
 
--- a/direct/watcher.cc
+++ b/direct/watcher.cc
@@ -3,6 +3,7 @@
 #include "gateway/async.h"
 #include "telemetry/log.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -77,6 +78,9 @@
         addresses += (addresses.empty() ? "" : ",") + feeder;
     log(LogLevel::Info, feeders.empty() ? "reading the store directly" : "reading the store through other entries", { { "feeders", addresses } });
     m_feeders = std::move(feeders);
+    const auto isGone = [this](const auto& item) { return std::find(m_feeders.begin(), m_feeders.end(), item.first) == m_feeders.end(); };
+    std::erase_if(m_feederClients, isGone);
+    std::erase_if(m_avoidedUntil, isGone);
     if (!m_feeders.empty())
         m_feed.onAllLost();
 }
@@ -156,7 +160,7 @@
     onEra(listing.era);
     if (isList)
         kind.listAgain = false;
-    kind.revision = listing.revision;
+    kind.revision = isList ? listing.revision : std::max(kind.revision, listing.revision);
     if (from.feeder.empty()) {
         if (isList)
             m_feed.onList(kind.name, listing);
@@ -248,7 +252,8 @@
         const StoreListing changes = co_await from.client->watch(kind.name, kind.revision, wait);
         if (std::exchange(kind.isInterrupted, false) && changes.status != StoreStatus::Ok)
             continue;
-        if (isDirect && changes.status == StoreStatus::Unknown && !kind.listAgain)
+        const bool isTurnedAway = changes.status == StoreStatus::Refused && m_feed.hasReaders(Clock::now());
+        if (isDirect && (changes.status == StoreStatus::Unknown || isTurnedAway) && !kind.listAgain)
             listAllAgain();
         if (changes.status != StoreStatus::Ok || changes.era != era || !onAnswer(index, from, changes, false)) {
             log(LogLevel::Info, "watch ended", { { "kind", kind.name }, { "feeder", from.feeder }, { "status", std::string(storeStatusName(changes.status)) }, { "revision", std::to_string(kind.revision) } });
--- a/direct/watcher.h
+++ b/direct/watcher.h
@@ -75,7 +75,8 @@
     Task<> checkProgress();
     Task<> listAgainAfterGrace();
     void onStoreRestored();
-    // The connections to the store may be silent: lists all kinds on new ones, and serves others none until then.
+    // The store's answers may no longer reach this entry: lists all kinds on new connections, and serves none to
+    // others until then.
     void listAllAgain();
     void cancelWatches();
     // Repeats the watches of the store, as their waits have become too long.
