Ask in tests for the endpoint that an entry prefers, and list a cold endpoint that gets too much

Three tests expected p1, the first by name, among equally loaded endpoints; an entry now has an order of its own, so they ask the entry's. Their checks and bounds are unchanged.

--- a/dispatch/dispatcher-test.cc
+++ b/dispatch/dispatcher-test.cc
@@ -176,3 +176,28 @@
     CHECK(sent >= instances);
     CHECK(static_cast<double>(sent) <= coldPerSecond);
 }
+
+TEST_CASE("53 instances that have all just started keep to the rate of a cold endpoint")
+{
+    constexpr size_t instances = 53;
+    constexpr double coldPerSecond = 15;
+    constexpr double allowed = 1.5 * coldPerSecond + 5;
+    DirectorySnapshot snapshot = makeSnapshot(1, 200);
+    ServiceProfile plain;
+    plain.name = "plain";
+    plain.coldPerSecond = coldPerSecond;
+    CatalogBuilder builder;
+    Route lookup = *snapshot.catalog->findRoute("app.example", "/lookup/1");
+    builder.version(2).route(lookup).service(plain);
+    snapshot.catalog = std::make_shared<const Catalog>(std::move(builder).build());
+    snapshot.endpoints.at("plain0").coldUntil = start + Millis(60'000);
+    size_t sent = 0;
+    for (size_t instance = 0; instance < instances; ++instance) {
+        Dispatcher dispatcher("z1", {}, "entry-" + std::to_string(instance));
+        dispatcher.setSnapshot(snapshot);
+        dispatcher.setKnownInstances(instances);
+        while (dispatcher.reserve(requestFor(snapshot, "/lookup/1"), start))
+            ++sent;
+    }
+    CHECK(static_cast<double>(sent) <= allowed);
+}
--- a/tests/direct-cluster.cc
+++ b/tests/direct-cluster.cc
@@ -1,5 +1,7 @@
 #include "tests/direct-cluster.h"
 
+#include "routing/placer.h"
+
 #include <boost/json.hpp>
 #include <fstream>
 #include <thread>
@@ -49,6 +51,12 @@
     return names;
 }
 
+std::string DirectCluster::preferredPlainEndpoint(int entry)
+{
+    const std::string instance = "entry-" + std::to_string(entry + 1);
+    return endpointPreference(instance, "p1") < endpointPreference(instance, "p2") ? "p1" : "p2";
+}
+
 std::string completeStream()
 {
     std::string stream;
--- a/tests/direct-cluster.h
+++ b/tests/direct-cluster.h
@@ -88,6 +88,9 @@
 
     static const std::vector<std::string>& endpointNames();
 
+    // Of "p1" and "p2", the one that an entry chooses when both are equally loaded.
+    static std::string preferredPlainEndpoint(int entry);
+
 private:
     static HttpRequest makeRequest(std::string method, std::string target, std::string id, HeaderList headers);
     int endpointPort(const std::string& endpoint) const;
--- a/tests/direct-failure-test.cc
+++ b/tests/direct-failure-test.cc
@@ -359,10 +359,11 @@
 TEST_CASE("direct: an endpoint that falls silent delays few requests, and is used again when it answers")
 {
     DirectCluster cluster;
+    const std::string target = DirectCluster::preferredPlainEndpoint(0);
     REQUIRE(cluster.waitUntilReady());
     for (int i = 0; i < 10; ++i)
         CHECK(cluster.call("GET", "/lookup/1", "k0-" + std::to_string(i)).status == 200);
-    cluster.endpoint("p1").signal(SIGSTOP);
+    cluster.endpoint(target).signal(SIGSTOP);
     const TimePoint start = Clock::now();
     for (int i = 0; i < 20; ++i)
         CHECK(cluster.call("GET", "/lookup/1", "k1-" + std::to_string(i)).status == 200);
@@ -373,11 +374,11 @@
         CHECK(cluster.call("POST", "/once/1", id).status == 200);
         CHECK(cluster.recordsOf(id).size() == 1);
     }
-    cluster.endpoint("p1").signal(SIGCONT);
+    cluster.endpoint(target).signal(SIGCONT);
     CHECK(waitUntil([&] {
-        const int before = cluster.runsByEndpoint()["p1"];
+        const int before = cluster.runsByEndpoint()[target];
         cluster.call("GET", "/lookup/1", "k3");
-        return cluster.runsByEndpoint()["p1"] > before;
+        return cluster.runsByEndpoint()[target] > before;
     }));
     CHECK(cluster.metrics().find("orioletrail_retries_total{reason=\"endpoint-silent\"}") != std::string::npos);
 }
@@ -708,11 +709,12 @@
     constexpr int64_t spanMs = 4000;
     constexpr int64_t graceMs = 3000;
     DirectCluster cluster;
+    const std::string target = DirectCluster::preferredPlainEndpoint(0);
     for (const int entry : { 1, 2 })
         cluster.startEntry(entry);
     for (const int entry : { 0, 1, 2 })
         REQUIRE(cluster.waitUntilReady(entry));
-    cluster.setFault("p1", "limited");
+    cluster.setFault(target, "limited");
     std::atomic<int> failures = 0;
     std::vector<std::thread> callers;
     callers.reserve(3);
@@ -734,7 +736,7 @@
     CHECK(failures == 0);
     std::vector<int64_t> times;
     for (const auto& line : cluster.records())
-        if (line.at("what").as_string() == "run" && line.at("name").as_string() == "p1")
+        if (line.at("what").as_string() == "run" && line.at("name").as_string() == target)
             times.push_back(line.at("at").as_int64());
     REQUIRE_FALSE(times.empty());
     std::sort(times.begin(), times.end());
@@ -746,12 +748,12 @@
     CHECK(static_cast<double>(most) <= 1.5 * limit * 4 + 5);
     // It is used up to its limit, and without one as before.
     CHECK(times.back() > from);
-    cluster.setFault("p1", "none");
+    cluster.setFault(target, "none");
     CHECK(waitUntil([&] {
-        const int before = cluster.runsByEndpoint()["p1"];
+        const int before = cluster.runsByEndpoint()[target];
         for (int i = 0; i < 20; ++i)
             cluster.call("GET", "/lookup/1", "l9");
-        return cluster.runsByEndpoint()["p1"] - before >= 5;
+        return cluster.runsByEndpoint()[target] - before >= 5;
     }));
 }
 
@@ -789,8 +791,9 @@
 {
     constexpr Millis duration { 4000 };
     DirectCluster cluster;
+    const std::string target = DirectCluster::preferredPlainEndpoint(0);
     REQUIRE(cluster.waitUntilReady());
-    cluster.setFault("p1", "misdirect");
+    cluster.setFault(target, "misdirect");
     const TimePoint until = Clock::now() + duration;
     int misdirected = 0;
     for (int i = 0; Clock::now() < until; ++i) {
@@ -802,9 +805,9 @@
     // Backoffs of 0.25, 0.5, 1 and 2 s.
     CHECK(misdirected >= 1);
     CHECK(misdirected <= 5);
-    cluster.setFault("p1", "none");
+    cluster.setFault(target, "none");
     CHECK(waitUntil([&] {
         cluster.call("GET", "/lookup/1", "q");
-        return cluster.runsByEndpoint()["p1"] > 0;
+        return cluster.runsByEndpoint()[target] > 0;
     }));
 }
