Let as many entries use a limited endpoint as its rate has requests

Cause: each entry may send one request in a window although its share is below one, and 53 entries that start together do so before they hear of each other. Ruled out: entries that do not know their number.

Now, where a rate has fewer requests in its window than there are entries, only the first of them by rendezvous with the endpoint use it. The test of 53 entries, which failed with 53 requests, sees 15.

--- a/direct/peer-messages.cc
+++ b/direct/peer-messages.cc
@@ -72,6 +72,7 @@
 void DirectEntry::State::addKnownInstance(std::string_view name)
 {
     slackShare.onInstance(name);
+    dispatcher->addInstance(name);
     dispatcher->setKnownInstances(slackShare.instanceCount());
 }
 
--- a/dispatch/dispatcher-test.cc
+++ b/dispatch/dispatcher-test.cc
@@ -196,8 +196,11 @@
         Dispatcher dispatcher("z1", {}, "entry-" + std::to_string(instance));
         dispatcher.setSnapshot(snapshot);
         dispatcher.setKnownInstances(instances);
+        for (size_t other = 0; other < instances; ++other)
+            dispatcher.addInstance("entry-" + std::to_string(other));
         while (dispatcher.reserve(requestFor(snapshot, "/lookup/1"), start))
             ++sent;
     }
     CHECK(static_cast<double>(sent) <= allowed);
+    CHECK(static_cast<double>(sent) >= coldPerSecond);
 }
--- a/dispatch/dispatcher.cc
+++ b/dispatch/dispatcher.cc
@@ -1,5 +1,7 @@
 #include "dispatch/dispatcher.h"
 
+#include "base/digest.h"
+
 #include <algorithm>
 
 namespace orioletrail {
@@ -54,6 +56,7 @@
             m_loads.removeEndpoint(id);
             m_rateLimiter.removeEndpoint(id);
             m_limits.removeEndpoint(id);
+            m_instancesBefore.erase(id);
         }
         if (current == snapshot.endpoints.end() || current->second.processStartMs != previous.processStartMs || current->second.host != previous.host || current->second.port != previous.port)
             m_health.removeEndpoint(id);
@@ -81,6 +84,30 @@
     return std::max({ detail::minSharingInstances, m_knownInstances, m_loads.livePeerCount(now) + 1 });
 }
 
+void Dispatcher::addInstance(std::string_view name)
+{
+    if (m_instanceNames.emplace(name).second)
+        m_instancesBefore.clear();
+}
+
+bool Dispatcher::isAmongFirst(const std::string& endpoint, size_t count)
+{
+    const auto [before, isNew] = m_instancesBefore.try_emplace(endpoint, 0);
+    if (isNew) {
+        const uint64_t own = rendezvousScore(endpoint, m_instance);
+        before->second = static_cast<size_t>(std::count_if(m_instanceNames.begin(), m_instanceNames.end(), [&](const std::string& name) { return rendezvousScore(endpoint, name) > own; }));
+    }
+    return before->second < count;
+}
+
+bool Dispatcher::hasRateLeft(const std::string& endpoint, const Rate& rate, TimePoint now)
+{
+    const double requests = rate.perSecond * std::chrono::duration<double>(rate.window).count();
+    if (requests < static_cast<double>(m_instanceNames.size()) && !isAmongFirst(endpoint, std::max<size_t>(1, static_cast<size_t>(requests))))
+        return false;
+    return m_rateLimiter.allows(endpoint, rate, instanceCount(now), now);
+}
+
 PlaceChoice Dispatcher::choosePlacement(const DispatchRequest& request, TimePoint now, std::vector<const EndpointRecord*>& candidates)
 {
     const ServiceProfile* service = m_snapshot.catalog ? m_snapshot.catalog->findService(request.service) : nullptr;
@@ -115,9 +142,9 @@
             option.limit = std::max(1.0, option.limit / option.slowness);
         option.failureShare = m_health.failureShare(record->id);
         option.closed = record->leaving || m_snapshot.closedZones.contains(record->zone)
-            || (now < record->coldUntil && coldPerSecond > 0 && !m_rateLimiter.allows(record->id, { coldPerSecond, detail::coldWindow }, instanceCount(now), now));
+            || (now < record->coldUntil && coldPerSecond > 0 && !hasRateLeft(record->id, { coldPerSecond, detail::coldWindow }, now));
         const double limit = limitOf(*record);
-        if (limit > 0 && !m_rateLimiter.allows(record->id, { limit, detail::limitWindow }, instanceCount(now), now))
+        if (limit > 0 && !hasRateLeft(record->id, { limit, detail::limitWindow }, now))
             option.load = std::max(option.load, option.limit);
         option.avoided = m_health.isAvoided(record->id, isIdempotent, now);
         option.tried = std::find(request.tried.begin(), request.tried.end(), record->id) != request.tried.end();
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -10,6 +10,8 @@
 #include "routing/load.h"
 #include "routing/placer.h"
 
+#include <set>
+
 namespace orioletrail {
 
 // Slowness factor of an engine that has stopped reporting. Such an engine gets requests only if no
@@ -138,6 +140,10 @@
 
     // Sets the number of instances that may exist, including this one and those that are not heard.
     void setKnownInstances(size_t count) { m_knownInstances = count; }
+    // Adds the name of an instance that may exist. If the rate of an endpoint has fewer requests in its window
+    // than there are instances, only as many of them use it, by rendezvous of the names: otherwise all could
+    // send one request before they hear of each other's.
+    void addInstance(std::string_view name);
     // Number of instances that share the rate limits of endpoints, including this one.
     size_t instanceCount(TimePoint) const;
 
@@ -172,6 +178,10 @@
     // instances share its capacity equally.
     double estimatedCompletionRate(const std::string& service, TimePoint);
     double slownessOf(std::string_view endpoint, TimePoint) const;
+    // True if the rate of the endpoint allows one more request of this instance.
+    bool hasRateLeft(const std::string& endpoint, const Rate&, TimePoint);
+    // True if this instance is one of the first `count` by rendezvous with the endpoint.
+    bool isAmongFirst(const std::string& endpoint, size_t count);
     // The limit that the endpoint's process has named in requests per second, 0 if it has none.
     double limitOf(const EndpointRecord&) const;
     // The requests to the endpoint are counted, since a rate limit holds for it.
@@ -181,6 +191,9 @@
     std::string m_instance;
     DispatchRules m_rules;
     size_t m_knownInstances = 0;
+    // Names of all instances that may exist, and how many of them come before this one for an endpoint.
+    std::set<std::string, std::less<>> m_instanceNames;
+    std::map<std::string, size_t, std::less<>> m_instancesBefore;
     DirectorySnapshot m_snapshot;
     // Preference for each endpoint.
     std::map<std::string, double, std::less<>> m_preferences;
