--- a/direct/map-driver-test.cc
+++ b/direct/map-driver-test.cc
@@ -50,7 +50,7 @@
         return engines;
     }
 
-    // Runs passes. Those with `first` as the most popular expert follow a power law.
+    // Runs passes. The popularity of the experts follows a power law, with `first` as the most popular one.
     Task<> run()
     {
         while (true) {
