--- a/review/build.sh
+++ b/review/build.sh
@@ -3,10 +3,10 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p build
-for source in standins/*.cc; do
-    g++ -std=c++20 -O1 -Wall -Wextra -o "build/$(basename "$source" .cc)" "$source" -pthread &
+for source in standins/*.cpp; do
+    g++ -std=c++20 -O1 -Wall -Wextra -o "build/$(basename "$source" .cpp)" "$source" -pthread &
 done
 wait
-for source in standins/*.cc; do
-    test -x "build/$(basename "$source" .cc)"
+for source in standins/*.cpp; do
+    test -x "build/$(basename "$source" .cpp)"
 done
--- a/review/standins/leaving-crash.cc
+++ b/review/standins/leaving-crash.cpp
@@ -1,7 +1,7 @@
 // Replicas of a service answer without a length: their answers end with their connections. One after the other they are
 // taken away: each reports that it is draining, still has answers to give, and crashes before it has given them. Checks
 // MIXED and ORDER: an answer that ends early must not look complete.
-#include "world.h"
+#include "world.hpp"
 
 #include <boost/json/src.hpp>
 #include <deque>
@@ -154,7 +154,8 @@
                 record.write("answered " + id + ' ' + what);
                 if (isSuccess && !isWhole)
                     record.write("BROKEN MIXED " + id + (isStream ? " (ORDER) stream " : " order ") + what);
-                ++(isWhole ? whole : isSuccess ? broken : failed);
+                ++(isWhole ? whole : isSuccess ? broken
+                                               : failed);
             });
         }
         sleepFor(drainAfterMillis);
@@ -176,5 +177,6 @@
     record.write(summary);
     puts(summary.c_str());
     programs.end();
-    finish(whole < rounds ? 2 : broken ? 1 : 0);
+    finish(whole < rounds ? 2 : broken ? 1
+                                       : 0);
 }
--- a/review/standins/map-copy.cc
+++ b/review/standins/map-copy.cpp
@@ -1,7 +1,7 @@
 // A group of 24 engines with a sidecar beside each, and two entries, one of which leads the expert maps. Engines leave
 // a part of the orders unanswered and carry them out seconds later, and send a second copy of a few of their answers to
 // clients late: where the next response on that connection is due. Checks MAP.
-#include "world.h"
+#include "world.hpp"
 
 #include <boost/json/src.hpp>
 #include <memory>
@@ -401,7 +401,7 @@
         if (error || !body.is_object() || !body.get_object().contains("op"))
             return connection.write(jsonAnswerOf(400, "{}"));
         const json::object order = body.get_object();
-        if (hasTrouble() && isWithinWindow(lateDuration, troublePeriod) && chance(lateShare)) {
+        if (hasTrouble("late") && isWithinWindow(lateDuration, troublePeriod) && chance(lateShare)) {
             static thread_local std::mt19937_64 random { std::random_device {}() };
             const int delay = 2000 + static_cast<int>(random() % 10'000);
             m_record.write("order rank " + std::to_string(m_rank) + ": " + Group::text(order) + " not answered, to be carried out in " + std::to_string(delay) + " ms");
@@ -439,7 +439,7 @@
         whole += "0\r\n\r\n";
         if (!isOpen || !connection.write("0\r\n\r\n"))
             return false;
-        if (hasTrouble() && m_rank < copyingEngines && isWithinWindow(copiesDuration, troublePeriod) && chance(copiedShare))
+        if (hasTrouble("copies") && m_rank < copyingEngines && isWithinWindow(copiesDuration, troublePeriod) && chance(copiedShare))
             copy = whole;
         return true;
     }
@@ -538,5 +538,6 @@
     record.write(summary);
     puts(summary.c_str());
     programs.end();
-    finish(whole < 50 || !group.switches() ? 2 : group.brokenPasses() ? 1 : 0);
+    finish(whole < 50 || !group.switches() ? 2 : group.brokenPasses() ? 1
+                                                                      : 0);
 }
--- a/review/standins/reply-copy.cc
+++ b/review/standins/reply-copy.cpp
@@ -1,7 +1,7 @@
 // Two entries before an order service with a replica in each of two zones, one of which is evacuated for a minute. The
 // other replica is full at times and rejects orders then. It sends a second copy of a few of its answers late: where the
 // next response on that connection is due. Checks TWICE and REFUSED.
-#include "world.h"
+#include "world.hpp"
 
 #include <boost/json/src.hpp>
 #include <set>
@@ -218,5 +218,6 @@
     record.write(summary);
     puts(summary.c_str());
     programs.end();
-    finish(byStatus[200] < 100 ? 2 : refused || twice ? 1 : 0);
+    finish(byStatus[200] < 100 ? 2 : refused || twice ? 1
+                                                      : 0);
 }
--- a/review/standins/unmarked-refusal.cc
+++ b/review/standins/unmarked-refusal.cpp
@@ -1,6 +1,6 @@
 // An order service of three replicas, one of which is grey at times: its health check is good, but it fails a part of the
 // orders after it has run them. It answers 503 without X-Not-Run then. Checks REFUSED.
-#include "world.h"
+#include "world.hpp"
 
 #include <boost/json/src.hpp>
 #include <memory>
@@ -163,5 +163,6 @@
     record.write(summary);
     puts(summary.c_str());
     programs.end();
-    finish(byStatus[200] < 100 ? 2 : refused ? 1 : 0);
+    finish(byStatus[200] < 100 ? 2 : refused ? 1
+                                             : 0);
 }
--- a/review/standins/world.h
+++ b/review/standins/world.hpp
@@ -1,7 +1,7 @@
 // The parts that all cases share: the record, the platform's store and the processes of the product.
 #pragma once
 
-#include "http.h"
+#include "http.hpp"
 
 #include <boost/json.hpp>
 #include <chrono>
@@ -355,10 +355,12 @@
     return (Clock::now() - start) % period < on;
 }
 
-inline bool hasTrouble()
+// Whether a disruption is to come. TROUBLE=0 leaves out all of them, and the name of one leaves out the others.
+inline bool hasTrouble(const std::string& name = {})
 {
     const char* value = getenv("TROUBLE");
-    return !value || std::string(value) != "0";
+    const std::string wanted = value ? value : "1";
+    return wanted == "1" || (wanted != "0" && wanted == name);
 }
 
 } // namespace standin
