Take only the first answer on a connection for an engine's answer to an order

Cause: the leader's orders bore no id, so any answer was taken.

Evidence: the new test of the leader with 129 engines sends each answer to an order once more and ignores some orders to arm. Before this change it failed: passes began with different versions.

Change: orders name an id and go on a connection of their own, also from the sidecar to its engine, so that the first answer is the order's. Calls between an entry and a sidecar are named by the sidecar and stay pooled. Ruled out: naming all calls to engines. Reports and counts stay pooled; a copy of one cannot follow an order any more. The product's own ranks name their calls to engines too.

Result: the test passes.

--- a/direct/map-driver-test.cc
+++ b/direct/map-driver-test.cc
@@ -23,6 +23,8 @@
 constexpr Millis passTime { 30 };
 // Time that an engine takes to answer any call.
 constexpr Millis answerTime { 10 };
+// Time after which an engine closes a connection on which it ignored an order.
+constexpr Millis unansweredTime { 3000 };
 
 // A group of engines that run passes in lock-step, each behind a server of its own.
 class EngineGroupFake {
@@ -73,6 +75,10 @@
 
     uint64_t version() const { return m_ranks[0].version; }
 
+    // From now on each order's answer is sent once more where the next answer on its connection is due, and some
+    // engines ignore every second order to arm.
+    void startFaults() { m_isFaulty = true; }
+
     uint32_t first = 0;
     bool isSafe = true;
     // When the counts of a rank were last read.
@@ -86,16 +92,33 @@
         std::optional<uint64_t> prepared;
         std::optional<std::pair<uint64_t, uint64_t>> armed;
         std::optional<uint64_t> held;
+        uint32_t armOrders = 0;
     };
 
+    bool ignores(uint32_t number, const json::object& order)
+    {
+        return m_isFaulty && number % 10 == 3 && order.at("op").as_string() == "arm" && ++m_ranks[number].armOrders % 2 == 0;
+    }
+
     Task<> handle(uint32_t number, const HttpRequest& request, Responder& responder)
     {
         HttpResponse answer { 200, {}, {} };
-        if (request.path() == "/orioletrail/order")
-            answer.status = order(m_ranks[number], json::parse(request.body).as_object());
-        else if (request.path() == "/orioletrail/report")
+        if (const auto copy = m_lateCopies.extract(std::pair(number, responder.connectionNumber())); !copy.empty())
+            co_await responder.respond(copy.mapped());
+        if (request.path() == "/orioletrail/order") {
+            const json::object body = json::parse(request.body).as_object();
+            if (ignores(number, body)) {
+                co_await sleepFor(unansweredTime);
+                responder.abort();
+                co_return;
+            }
+            answer.status = order(m_ranks[number], body);
+            if (m_isFaulty)
+                m_lateCopies.insert_or_assign(std::pair(number, responder.connectionNumber()), answer);
+        }
+        if (request.path() == "/orioletrail/report")
             answer.body = json::serialize(report(number));
-        else
+        else if (request.path() == "/orioletrail/picked")
             answer.body = readCounts(number);
         co_await sleepFor(answerTime);
         co_await responder.respond(answer);
@@ -150,57 +173,90 @@
     std::vector<Rank> m_ranks;
     std::vector<uint64_t> m_counts;
     uint64_t m_step = 1;
+    bool m_isFaulty = false;
+    // Answers that are sent once more, by rank and connection.
+    std::map<std::pair<uint32_t, uint64_t>, HttpResponse> m_lateCopies;
     std::vector<std::unique_ptr<HttpServer>> m_servers;
     std::vector<uint16_t> m_ports;
 };
 
+// A leader with its group of engines on one event loop.
+class LeaderFixture {
+public:
+    LeaderFixture()
+        : group(context)
+        , m_engines(group.accesses(false))
+        , m_sidecars(group.accesses(true))
+    {
+        m_profile.expertSets = setCount;
+        m_profile.experts = expertCount;
+        m_profile.expertsPerRank = 3;
+        m_profile.newExpertsPerChange = 2;
+        m_profile.expertCopyTime = Millis(6);
+        MapDriver::Hooks hooks;
+        hooks.engines = [this]() -> std::vector<EngineAccess> { return m_engines; };
+        hooks.sidecars = [this]() -> Task<std::optional<std::vector<EngineAccess>>> { co_return m_sidecars; };
+        hooks.profile = [this](const std::string&) { return &m_profile; };
+        hooks.expectedGapRatio = [](const std::string&, double) { return 1.0; };
+        driver = std::make_unique<MapDriver>(context.get_executor(), m_planner.get_executor(), MapDriverSettings {}, hooks, m_metrics);
+        driver->takeOver({ 65'536, 131'072 });
+    }
+
+    ~LeaderFixture() { m_planner.join(); }
+
+    // Calls the driver regularly for this time, or until the group has another version than this one.
+    Task<> playUntilNot(uint64_t version, Millis limit)
+    {
+        const TimePoint started = Clock::now();
+        while (group.version() == version && Clock::now() - started < limit) {
+            co_await sleepFor(Millis(50));
+            driver->tick(Clock::now());
+        }
+    }
+
+    Task<> play(Millis time)
+    {
+        const TimePoint started = Clock::now();
+        while (Clock::now() - started < time) {
+            co_await sleepFor(Millis(50));
+            driver->tick(Clock::now());
+        }
+    }
+
+    asio::io_context context;
+    EngineGroupFake group;
+    std::unique_ptr<MapDriver> driver;
+
+private:
+    asio::thread_pool m_planner { 1 };
+    Metrics m_metrics;
+    EngineProfile m_profile;
+    std::vector<EngineAccess> m_engines;
+    std::vector<EngineAccess> m_sidecars;
+};
+
 } // namespace
 
 TEST_CASE("a group of 129 ranks gets a better map within two seconds of a shift, from counts of 300 ms at most")
 {
     constexpr Millis changeBound { 2000 };
     constexpr Millis countBound { 300 };
-    asio::io_context context;
-    asio::thread_pool planner { 1 };
-    Metrics metrics;
-    EngineGroupFake group(context);
-    EngineProfile profile;
-    profile.expertSets = setCount;
-    profile.experts = expertCount;
-    profile.expertsPerRank = 3;
-    profile.newExpertsPerChange = 2;
-    profile.expertCopyTime = Millis(6);
-    std::vector<EngineAccess> engines = group.accesses(false);
-    std::vector<EngineAccess> sidecars = group.accesses(true);
-    MapDriver::Hooks hooks;
-    hooks.engines = [&engines]() -> std::vector<EngineAccess> { return engines; };
-    hooks.sidecars = [&sidecars]() -> Task<std::optional<std::vector<EngineAccess>>> { co_return sidecars; };
-    hooks.profile = [&](const std::string&) { return &profile; };
-    hooks.expectedGapRatio = [](const std::string&, double) { return 1.0; };
-    MapDriver driver(context.get_executor(), planner.get_executor(), {}, hooks, metrics);
-    driver.takeOver({ 65'536, 131'072 });
+    LeaderFixture fixture;
+    EngineGroupFake& group = fixture.group;
     std::vector<Clock::duration> changeTimes;
     auto play = [&]() -> Task<> {
         for (uint32_t shift = 0; shift < 3; ++shift) {
             group.first = shift * 29;
-            const uint64_t before = group.version();
             const TimePoint shifted = Clock::now();
-            while (group.version() == before && Clock::now() - shifted < 2 * changeBound) {
-                co_await sleepFor(Millis(50));
-                driver.tick(Clock::now());
-            }
+            co_await fixture.playUntilNot(group.version(), 2 * changeBound);
             changeTimes.push_back(Clock::now() - shifted);
-            for (int tick = 0; tick < 20; ++tick) {
-                co_await sleepFor(Millis(50));
-                driver.tick(Clock::now());
-            }
+            co_await fixture.play(Millis(1000));
         }
-        context.stop();
+        fixture.context.stop();
     };
-    asio::co_spawn(context, group.run(), asio::detached);
-    asio::co_spawn(context, play(), asio::detached);
-    context.run_for(std::chrono::seconds(30));
-    planner.join();
+    asio::co_spawn(fixture.context, group.run(), asio::detached);
+    asio::co_spawn(fixture.context, play(), asio::detached);
+    fixture.context.run_for(std::chrono::seconds(30));
     CHECK(group.isSafe);
     REQUIRE(changeTimes.size() == 3);
     // The first includes the start of the leadership.
@@ -212,3 +268,26 @@
         MESSAGE("map in force after ", std::chrono::duration_cast<Millis>(time).count(), " ms");
     MESSAGE("counts read at least every ", std::chrono::duration_cast<Millis>(group.longestReadGap).count(), " ms");
 }
+
+// Fails if the copy of an engine's answer to an earlier order is taken for that to one which it ignored.
+TEST_CASE("a late copy of an answer to an order does not let the group go with a rank that is not armed")
+{
+    LeaderFixture fixture;
+    EngineGroupFake& group = fixture.group;
+    uint32_t changes = 0;
+    auto play = [&]() -> Task<> {
+        for (uint32_t shift = 0; shift < 4; ++shift) {
+            group.first = shift * 29;
+            const uint64_t before = group.version();
+            co_await fixture.playUntilNot(before, Millis(4000));
+            changes += group.version() != before;
+            group.startFaults();
+        }
+        fixture.context.stop();
+    };
+    asio::co_spawn(fixture.context, group.run(), asio::detached);
+    asio::co_spawn(fixture.context, play(), asio::detached);
+    fixture.context.run_for(std::chrono::seconds(30));
+    CHECK(group.isSafe);
+    CHECK(changes >= 2);
+}
--- a/direct/map-driver.cc
+++ b/direct/map-driver.cc
@@ -273,6 +273,8 @@
     call.timeout = timeout;
     call.connectTimeout = timeout;
     call.maxIdle = detail::maxConnectionIdle;
+    // Engines do not name orders in their answers, so only the first answer on a connection is known to be the order's.
+    call.allowReuse = engine.isSidecar || call.request.method == "GET";
     co_return co_await engine.client->call(std::move(call));
 }
 
@@ -347,7 +349,9 @@
 Task<> MapDriver::sendOrder(GroupPtr group, EngineAccess engine, MapOrder order)
 {
     const bool isPrepare = order.kind == MapOrderKind::Prepare;
-    const HttpResult result = co_await call(engine, requestFor(*group, order), isPrepare ? m_settings.prepareTimeout : m_settings.orderTimeout);
+    HttpRequest request = requestFor(*group, order);
+    addRequestId(request);
+    const HttpResult result = co_await call(engine, std::move(request), isPrepare ? m_settings.prepareTimeout : m_settings.orderTimeout);
     group->preparing -= isPrepare;
     const OrderAnswer answer = decodeOrderAnswer(result);
     std::string labels = "order=\"";
--- a/direct/sidecar.cc
+++ b/direct/sidecar.cc
@@ -1,6 +1,7 @@
 #include "direct/sidecar.h"
 
 #include "gateway/async.h"
+#include "platform/dialect.h"
 #include "telemetry/log.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -96,10 +97,14 @@
     call.request.body = request.body;
     call.timeout = m_settings.engineTimeout;
     call.connectTimeout = m_settings.engineTimeout;
+    // As the leader does: an order takes only the first answer on a connection.
+    call.allowReuse = request.method == "GET";
     HttpResult result = co_await m_engine->call(std::move(call));
     HttpResponse answer;
     answer.status = result.ok() ? result.status : badGateway;
     answer.headers = endToEndHeaders(result.headers);
+    if (findHeader(answer.headers, requestIdHeader).empty())
+        setRequestId(answer.headers, request.header(requestIdHeader));
     answer.body = std::move(result.body);
     if (!result.ok())
         log(LogLevel::Warning, "request to the engine failed", { { "instance", m_platform.instance }, { "target", request.target } });
--- a/fakes/rank.cc
+++ b/fakes/rank.cc
@@ -49,6 +49,7 @@
             } else {
                 answer = jsonAnswer(200, { { "counts", tokenCounts() } });
             }
+            answer.headers.emplace_back(std::string(requestIdHeader), std::string(request.header(requestIdHeader)));
             co_await responder.respond(answer);
         }
 
--- a/gateway/http.cc
+++ b/gateway/http.cc
@@ -5,6 +5,7 @@
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
+#include <random>
 
 namespace orioletrail {
 
@@ -74,6 +75,12 @@
     return {};
 }
 
+void addRequestId(HttpRequest& request)
+{
+    static thread_local std::mt19937_64 random { std::random_device {}() };
+    request.headers.emplace_back(std::string(requestIdHeader), std::to_string(random()) + '-' + std::to_string(random()));
+}
+
 std::optional<std::pair<std::string, uint16_t>> parseAddress(std::string_view text)
 {
     const size_t colon = text.rfind(':');
--- a/gateway/http.h
+++ b/gateway/http.h
@@ -211,6 +211,9 @@
 // Identifies a request; a server repeats it in its response.
 inline constexpr std::string_view requestIdHeader = "X-Request-Id";
 
+// Adds an id that no other request has. For requests that are not sent in place of a caller's.
+void addRequestId(HttpRequest&);
+
 // Sends requests to one server over a pool of keep-alive connections.
 //
 // A faulty server may send a second copy of a response later, where that to the next request is due.
--- a/rank/rank.cc
+++ b/rank/rank.cc
@@ -28,6 +28,7 @@
         call.request.method = std::move(method);
         call.request.target = std::move(target);
         call.request.body = std::move(body);
+        addRequestId(call.request);
         call.timeout = engineTimeout;
         return call;
     }
