Keep requests with an id off connections whose answers name no request

An entry answered lookups with 502 when its endpoint names no request and its sidecar had read a report on the connection before: the sidecar's report, which has no id, left the connection in the pool, and the unnamed answer to the next request was rejected as a possible copy.

Change: a connection on which an unnamed answer has come carries no request with an id any more. A server that names nothing gets a connection for each such request and keeps sharing one for the others. The new test fails without it.

--- a/gateway/client-test.cc
+++ b/gateway/client-test.cc
@@ -242,6 +242,30 @@
     CHECK(results[3].body == "fourth");
 }
 
+// Fails if requests with and without an id share connections to a server that names no request.
+TEST_CASE("a server that names no request is used with a connection for each request with an id")
+{
+    const std::string unnamed = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    asio::io_context context;
+    TestServer server(context, { unnamed, unnamed, unnamed, unnamed });
+    HttpClient client(context.get_executor(), "127.0.0.1", server.port());
+    std::vector<HttpResult> results;
+    auto run = [&]() -> Task<> {
+        for (const char* id : { "", "a", "b", "" }) {
+            HttpCall call = callWithId(id);
+            results.push_back(co_await client.call(std::move(call)));
+        }
+        server.stop();
+    };
+    asio::co_spawn(context, run(), asio::detached);
+    context.run_for(std::chrono::seconds(5));
+    REQUIRE(results.size() == 4);
+    for (const HttpResult& result : results)
+        CHECK(result.status == 200);
+    CHECK(results[3].usedPooledConnection);
+    CHECK(server.connectionCount() == 3);
+}
+
 TEST_CASE("a request without an id does not take an answer that names another")
 {
     asio::io_context context;
--- a/gateway/client.cc
+++ b/gateway/client.cc
@@ -54,8 +54,9 @@
         std::optional<Millis> m_peerKeepAlive;
         // Hashes of the ids of all requests that were sent on the connection.
         std::vector<uint64_t> m_requestIds;
-        // A response has been received on the connection.
+        // A response has been received on the connection, or one that names no request.
         bool m_hasResponse = false;
+        bool m_hasUnnamedResponse = false;
     };
 
     using StreamPtr = std::shared_ptr<PooledStream>;
@@ -115,8 +116,8 @@
     }
 
     // Removes and returns the most recently used idle connection that is still open, has received no
-    // bytes since its last response and has carried no request with this id; null if there is none.
-    // Closes those that cannot be used any more.
+    // bytes since its last response, and on which no late copy of an earlier response could be taken for
+    // that to this request; null if there is none. Closes those that cannot be used any more.
     detail::StreamPtr takeIdle(Millis maxIdle, std::optional<uint64_t> requestId)
     {
         for (size_t index = m_idle.size(); index-- > 0;) {
@@ -124,7 +125,8 @@
             const auto idle = Clock::now() - stream->m_lastUsed;
             const bool isExpired = idle > maxIdle || (stream->m_peerKeepAlive && idle + detail::keepAliveMargin > *stream->m_peerKeepAlive);
             const bool isUsable = !isExpired && isOpenAndQuiet(*stream);
-            if (isUsable && requestId && std::ranges::find(stream->m_requestIds, *requestId) != stream->m_requestIds.end())
+            const bool mayHoldCopy = requestId && (stream->m_hasUnnamedResponse || std::ranges::find(stream->m_requestIds, *requestId) != stream->m_requestIds.end());
+            if (isUsable && mayHoldCopy)
                 continue;
             m_idle.erase(m_idle.begin() + static_cast<std::ptrdiff_t>(index));
             if (isUsable)
@@ -234,6 +236,7 @@
             if (named.empty() && !requestId.empty() && stream.m_hasResponse)
                 co_return http::error::bad_field;
             stream.m_hasResponse = true;
+            stream.m_hasUnnamedResponse = stream.m_hasUnnamedResponse || named.empty();
             if (named.empty() || named == requestId)
                 co_return error_code();
             ++result.droppedResponses;
@@ -332,8 +335,8 @@
     stream->m_stream.expires_never();
     stream->m_peerKeepAlive = detail::parseKeepAliveTimeout(findHeader(result.headers, "Keep-Alive"));
     // A connection with bytes after the response is not reused, since they match no request.
-    const bool isNamed = !idHash || !findHeader(result.headers, requestIdHeader).empty();
-    if (parser->keep_alive() && !stream->m_buffer.size() && isNamed)
+    const bool mayBeReused = !idHash || !stream->m_hasUnnamedResponse;
+    if (parser->keep_alive() && !stream->m_buffer.size() && mayBeReused)
         state->returnToPool(stream);
     co_return result;
 }
--- a/gateway/http.h
+++ b/gateway/http.h
@@ -57,7 +57,7 @@
 public:
     virtual ~Responder() = default;
 
-    // Sends a complete response.
+    // Sends a complete response. Aborts a response that begin() has begun.
     virtual Task<> respond(const HttpResponse&) = 0;
 
     // Sends the status line and headers of a response in parts, whose end is marked by the last
@@ -218,9 +218,9 @@
 //
 // A faulty server may send a second copy of a response later, where that to the next request is due.
 // Responses are therefore matched to requests by their X-Request-Id: one that names another request is
-// dropped, and one that names none is accepted only as the first on its connection, which is not reused
-// then. A request is never sent on a connection that has carried one with the same id before. Requests
-// without an id take the first response that names none.
+// dropped, and one that names none is accepted only as the first on its connection, which no request with
+// an id uses after that. A request is never sent on a connection that has carried one with the same id
+// before. Requests without an id take the first response that names none.
 class HttpClient {
 public:
     HttpClient(boost::asio::any_io_executor, std::string_view address, uint16_t port);
