Break a stream off when the endpoint that should go on with it answers with an error

Cause: classifyAttempt() rejected only a later success for a stream that had begun. A 3xx or 4xx counted as the answer and was written with a second head by respond(), which nothing refused; the connection was used again.

Evidence: the new failure test reads the raw bytes.

Change: a stream that has begun goes on with events or is retried or broken off. Responder::respond() aborts a response that has begun, whoever calls it. The entry of the product's own interface does not resume streams, so nothing is written there after the first answer.

--- a/direct/attempt.cc
+++ b/direct/attempt.cc
@@ -315,7 +315,8 @@
         result.reason = head.wrongEndpoint ? Reason::WrongEndpoint : Reason::EndpointRefused;
         return result;
     }
-    if (head.hasContentEncoding || (detail::isSuccess(callResult.status) && (!head.isSigned || job.streamBegun))) {
+    // A stream that has begun can only go on with events.
+    if (head.hasContentEncoding || job.streamBegun || (detail::isSuccess(callResult.status) && !head.isSigned)) {
         result.reason = Reason::SpoiledAnswer;
         return result;
     }
--- a/fakes/replica.cc
+++ b/fakes/replica.cc
@@ -59,7 +59,7 @@
                 co_await responder.respond(report);
                 co_return;
             }
-            const std::string fault = m_server.consumeFault("limited refuse late-copy late-copy-unnamed misdirect lose cut endless fail slow extra unframed unframed-cut unframed-crash unframed-empty");
+            const std::string fault = m_server.consumeFault("limited refuse late-copy late-copy-unnamed misdirect lose cut-404 cut endless fail slow extra unframed unframed-cut unframed-crash unframed-empty");
             m_isLimited = fault == "limited";
             if (fault == "misdirect" || request.header("X-Expect-Replica") != name()) {
                 co_await reject(request, responder, misdirected);
@@ -126,6 +126,11 @@
 
         Task<> streamEvents(const HttpRequest& request, Responder& responder, const std::string& fault)
         {
+            if (fault == "cut-404" && !request.header("Last-Event-Id").empty()) {
+                const HttpResponse answer { 404, answerHeaders(request), "no such stream" };
+                co_await responder.respond(answer);
+                co_return;
+            }
             HeaderList streamHeaders = answerHeaders(request);
             streamHeaders.emplace_back("Content-Type", "text/event-stream");
             const std::string from(request.header("Last-Event-Id"));
@@ -144,7 +149,7 @@
                 }
                 if (fault == "unframed-crash" && event == first + 3)
                     std::_Exit(1);
-                if (fault.ends_with("cut") && event == first + 3) {
+                if ((fault.ends_with("cut") || fault == "cut-404") && event == first + 3) {
                     co_await responder.chunk(std::string_view(text).substr(0, text.size() / 2));
                     if (isUnframed)
                         co_await responder.end();
--- a/fakes/replica.h
+++ b/fakes/replica.h
@@ -10,6 +10,7 @@
 // - "late-copy-unnamed": as "late-copy", but the copy has no X-Request-Id.
 // - "lose": runs the request and closes the connection without an answer.
 // - "cut": closes the connection within an event of a stream.
+// - "cut-404": as "cut", and answers 404 to a stream that is resumed.
 // - "unframed": sends answers with neither a length nor chunks, whose end is the end of the connection.
 // - "unframed-crash": as "unframed", but ends the process between two events, or halfway through another answer.
 // - "unframed-empty": as "unframed", but with an empty body.
--- a/gateway/server-test.cc
+++ b/gateway/server-test.cc
@@ -90,3 +90,16 @@
         CHECK(broken.bytes.find("HTTP/1.1", 1) == std::string::npos);
     }
 }
+
+TEST_CASE("a complete response is not written into one that has begun")
+{
+    auto handler = [](const HttpRequest&, Responder& responder) -> Task<> {
+        co_await sendTwoParts(responder);
+        const HttpResponse error { 404, {}, "not found" };
+        co_await responder.respond(error);
+    };
+    const Received received = exchange(handler, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(received.bytes.find("second") != std::string::npos);
+    CHECK(received.bytes.find("404") == std::string::npos);
+    CHECK_FALSE(received.bytes.ends_with("0\r\n\r\n"));
+}
--- a/gateway/server.cc
+++ b/gateway/server.cc
@@ -60,6 +60,11 @@
 
         Task<> respond(const HttpResponse& answer) override
         {
+            // A second head would be taken for a part of the response that has begun.
+            if (m_headSent && !m_ended) {
+                abort();
+                co_return;
+            }
             http::response<http::string_body> response(static_cast<http::status>(answer.status), 11);
             setHeaders(response, answer.headers);
             response.body() = answer.body;
--- a/tests/direct-failure-test.cc
+++ b/tests/direct-failure-test.cc
@@ -152,6 +152,27 @@
     }
 }
 
+// Fails if the head or the body of an error is written into the stream, or the stream is ended in order after it.
+TEST_CASE("direct: a stream that has begun never takes the error of the endpoint that should go on with it")
+{
+    DirectCluster cluster;
+    REQUIRE(cluster.waitUntilReady());
+    for (const char* name : { "m1", "m2", "m3" })
+        cluster.setFault(name, "cut-404");
+    const std::string received = sendRaw(cluster.callerAddress(0), "POST /stream/1 HTTP/1.1\r\nHost: app.example\r\nX-Request-Id: e1\r\nAuthorization: Token key-1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    const std::string::size_type head = received.find("HTTP/1.1 200");
+    CHECK(head == 0);
+    CHECK(received.find("token 3") != std::string::npos);
+    CHECK(received.find("HTTP/1.1", head + 1) == std::string::npos);
+    CHECK(received.find("no such stream") == std::string::npos);
+    CHECK_FALSE(received.ends_with("0\r\n\r\n"));
+    CHECK(cluster.recordsOf("e1").size() == 2);
+    // A request that has received nothing yet gets the error as it is.
+    const HttpResult whole = cluster.call("POST", "/stream/1", "e2", { { "Last-Event-Id", "3" } });
+    CHECK(whole.status == 404);
+    CHECK(whole.body == "no such stream");
+}
+
 TEST_CASE("direct: a stream that its endpoint ended within an event never looks complete")
 {
     DirectCluster cluster;
--- a/tests/input-test.cc
+++ b/tests/input-test.cc
@@ -1,9 +1,6 @@
 // Invalid input from callers and operators gets a clear error and ends no process.
 #include "tests/cluster.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
 using namespace orioletrail;
@@ -11,22 +8,6 @@
 
 namespace {
 
-// Sends raw bytes, optionally shuts down the sending side, and returns everything received until the peer closes.
-std::string sendRaw(const std::string& address, const std::string& bytes, bool halfClose)
-{
-    const auto parsed = parseAddress(address);
-    boost::asio::io_context context;
-    boost::asio::ip::tcp::socket socket(context);
-    boost::system::error_code ignored;
-    socket.connect({ boost::asio::ip::make_address(parsed->first), parsed->second });
-    boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
-    if (halfClose)
-        socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-    std::string answer;
-    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), ignored);
-    return answer;
-}
-
 // Runs `orioletrail` with the given flags.
 int exitCode(const std::string& flags)
 {
--- a/tests/process.cc
+++ b/tests/process.cc
@@ -3,6 +3,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
@@ -121,4 +123,19 @@
     std::filesystem::remove_all(m_path, ignored);
 }
 
+std::string sendRaw(const std::string& address, const std::string& bytes, bool halfClose)
+{
+    const auto parsed = parseAddress(address);
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context);
+    boost::system::error_code ignored;
+    socket.connect({ boost::asio::ip::make_address(parsed->first), parsed->second });
+    boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
+    if (halfClose)
+        socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    std::string answer;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), ignored);
+    return answer;
+}
+
 } // namespace orioletrail::tests
--- a/tests/process.h
+++ b/tests/process.h
@@ -69,4 +69,7 @@
     std::string m_path;
 };
 
+// Sends raw bytes, optionally shuts down the sending side, and returns everything received until the peer closes.
+std::string sendRaw(const std::string& address, const std::string& bytes, bool halfClose = false);
+
 } // namespace orioletrail::tests
