Close a sidecar while its endpoint is leaving or asks for a pause

The same rules as for direct entries (DRAIN, BUDGET) on the path through sidecars: a sidecar passed requests on to an endpoint that had said in an answer that it was leaving, or that it takes nothing until the end of its Retry-After.

Change: the sidecar keeps the notices of its endpoint and is closed meanwhile, which recalls the credits of all entries; a request that comes on an earlier credit is refused as not run. The notices end with the endpoint's process.

--- a/fakes/service.cc
+++ b/fakes/service.cc
@@ -32,16 +32,25 @@
                 co_await responder.respond(answer);
                 co_return;
             }
+            const std::string fault = m_server.consumeFault("lose slow stall leaving pause");
+            if (fault == "pause") {
+                m_server.writeRecord({ { "what", "rejected" }, { "request", request.header("X-Request-Id") } });
+                HttpResponse answer = jsonAnswer(503, {});
+                answer.headers.emplace_back("Retry-After", std::to_string(std::chrono::duration<double>(m_server.faultDelay()).count()));
+                co_await responder.respond(answer);
+                co_return;
+            }
             ++m_inFlight;
             const bool isOrder = request.method == "POST";
             m_server.writeRecord({ { "what", isOrder ? "order" : "lookup" }, { "request", request.header("X-Request-Id") }, { "key", request.header("Idempotency-Key") }, { "body", request.body } });
-            const std::string fault = m_server.consumeFault("lose slow stall");
             co_await sleepFor(fault == "stall" ? stallDuration : fault == "slow" ? m_server.faultDelay()
                                                                                  : m_settings.responseTime);
             if (fault == "lose") {
                 responder.abort();
             } else {
-                const HttpResponse answer = jsonAnswer(isOrder ? 201 : 200, { { isOrder ? "printed" : "path", isOrder ? request.body : request.target } });
+                HttpResponse answer = jsonAnswer(isOrder ? 201 : 200, { { isOrder ? "printed" : "path", isOrder ? request.body : request.target } });
+                if (fault == "leaving")
+                    answer.headers.emplace_back("Server-Leaving", "1");
                 co_await responder.respond(answer);
             }
             --m_inFlight;
--- a/sidecar/attempt-runner.cc
+++ b/sidecar/attempt-runner.cc
@@ -1,5 +1,6 @@
 // Admits attempts and runs them at the endpoint.
 #include "base/digest.h"
+#include "platform/dialect.h"
 #include "sidecar/state.h"
 #include "telemetry/log.h"
 
@@ -195,6 +196,18 @@
     attempt->firstByte = Clock::now();
     attempt->answer.status = status;
     attempt->answer.contentType = std::string(findHeader(headers, "Content-Type"));
+    const EndpointHead told = decodeHead(status, headers);
+    if (told.isLeaving && notices.onLeaving(settings.name, attempt->endpointStart)) {
+        metrics.count("orioletrail_endpoint_notices_total", "notice=\"leaving\"");
+        log(LogLevel::Info, "endpoint says that it is leaving", { { "endpoint", settings.name } });
+    }
+    if (told.pause > Millis(0)) {
+        notices.onPause(settings.name, attempt->endpointStart, *attempt->firstByte + told.pause);
+        metrics.count("orioletrail_endpoint_notices_total", "notice=\"pause\"");
+        log(LogLevel::Info, "endpoint asks for a pause", { { "endpoint", settings.name }, { "pauseMs", std::to_string(told.pause.count()) } });
+    }
+    if (told.isLeaving || told.pause > Millis(0))
+        updateCredits();
     attempt->isEventStream = attempt->answer.contentType.starts_with(detail::eventStreamType);
     Frame head;
     head.kind = FrameKind::Head;
--- a/sidecar/sidecar.cc
+++ b/sidecar/sidecar.cc
@@ -160,6 +160,10 @@
     const auto own = view.config->endpoints.find(settings.name);
     if (own == view.config->endpoints.end() || own->second.leaving)
         return Reason::Leaving;
+    if (notices.isLeaving(settings.name, endpointStart))
+        return Reason::Leaving;
+    if (notices.pauseLeft(settings.name, endpointStart, now) > Millis(0))
+        return Reason::EndpointRefused;
     return ramp.isProbed() ? Reason::None : Reason::NotProbed;
 }
 
--- a/sidecar/state.h
+++ b/sidecar/state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "admission/credits.h"
+#include "admission/endpoint-notices.h"
 #include "gateway/events.h"
 #include "gateway/http.h"
 #include "retry/poison.h"
@@ -190,6 +191,8 @@
     bool exclusiveWaits = false;
     // Identifies the endpoint process, as given by its last load report.
     uint64_t endpointStart = 0;
+    // What the endpoint has said in its answers about taking further requests.
+    EndpointNotices notices;
     bool wasZoneOut = false;
     std::atomic<bool> stopping { false };
     std::atomic<bool> ready { false };
--- a/tests/endpoint-failure-test.cc
+++ b/tests/endpoint-failure-test.cc
@@ -138,3 +138,27 @@
     const std::string otherBody = R"({"model":"labels","messages":[{"role":"user","content":"hello"}]})";
     CHECK(cluster.call(cluster.entryAddress(1), "POST", "/v1/chat/completions", otherBody).status == 200);
 }
+
+// Fails if a sidecar passes requests on to an endpoint that has said that it takes none.
+TEST_CASE("an endpoint behind a sidecar that says it is leaving, or asks for a pause, gets no request")
+{
+    Cluster cluster({ 1, 1, 1, false, {}, {}, {} });
+    REQUIRE(cluster.waitUntilReady());
+    const auto lookUp = [&] { return cluster.call(cluster.entryAddress(1), "GET", "/services/print/orders/1").status; };
+    CHECK(lookUp() == 200);
+    cluster.setFault("z1-s1", "pause", 2000);
+    CHECK(lookUp() == 503);
+    cluster.setFault("z1-s1", "none");
+    const size_t before = cluster.runCount("z1-s1");
+    const TimePoint paused = Clock::now();
+    while (Clock::now() - paused < Millis(1500))
+        CHECK(lookUp() == 503);
+    CHECK(cluster.runCount("z1-s1") == before);
+    std::this_thread::sleep_until(paused + Millis(2300));
+    cluster.setFault("z1-s1", "leaving");
+    CHECK(lookUp() == 200);
+    CHECK(cluster.runCount("z1-s1") == before + 1);
+    for (int i = 0; i < 5; ++i)
+        CHECK(lookUp() == 503);
+    CHECK(cluster.runCount("z1-s1") == before + 1);
+}
