Answer 502 for an order whose endpoint failed with a status that promises "not run"

PROTOCOL.md says that the status is returned unchanged, and also that 429, 503, 408 and 421 are a promise; a caller sends an order again only after a promise, so the promise counts. Requests that may be repeated still get the endpoint's answer unchanged.

The new failure test failed before (503 instead of 502) and passes.

--- a/direct/attempt.cc
+++ b/direct/attempt.cc
@@ -334,6 +334,11 @@
         result.reason = Reason::SpoiledAnswer;
         return result;
     }
+    // The endpoint does not say that it has not run the request, so its status must not promise that to the caller.
+    if (promisesNotRun(callResult.status) && job.route->idempotency == Idempotency::NonIdempotent) {
+        result.reason = Reason::EndpointFailed;
+        return result;
+    }
     result.answer = HttpResponse { callResult.status, {}, std::move(body) };
     if (detail::isServerFailure(callResult.status)) {
         result.reason = Reason::EndpointFailed;
--- a/fakes/replica.cc
+++ b/fakes/replica.cc
@@ -63,7 +63,7 @@
                 co_await responder.respond(report);
                 co_return;
             }
-            const std::string fault = m_server.consumeFault("limited leaving pause refuse late-copy late-copy-unnamed misdirect lose cut-404 cut endless fail slow extra unframed unframed-cut unframed-crash unframed-empty");
+            const std::string fault = m_server.consumeFault("limited leaving pause unmarked refuse late-copy late-copy-unnamed misdirect lose cut-404 cut endless fail slow extra unframed unframed-cut unframed-crash unframed-empty");
             m_isLimited = fault == "limited";
             m_isLeaving = fault == "leaving";
             if (fault == "misdirect" || request.header("X-Expect-Replica") != name()) {
@@ -78,6 +78,11 @@
                 { "key", request.header("Authorization") }, { "timeLeft", request.header("X-Deadline-Ms") }, { "from", request.header("Last-Event-Id") } });
             if (request.target.find("crash") != std::string::npos)
                 std::_Exit(1);
+            if (fault == "unmarked") {
+                const HttpResponse answer { unavailable, answerHeaders(request), "failed" };
+                co_await responder.respond(answer);
+                co_return;
+            }
             ++m_inFlight;
             if (fault == "slow")
                 co_await sleepFor(m_server.faultDelay());
@@ -111,8 +116,10 @@
                     co_return;
                 }
                 co_await responder.chunk("done ");
-                if (fault == "unframed-crash")
+                if (fault == "unframed-crash") {
+                    co_await sleepFor(m_server.faultDelay());
                     std::_Exit(1);
+                }
                 if (fault == "unframed-cut") {
                     responder.abort();
                     co_return;
@@ -152,8 +159,10 @@
                     co_await responder.end();
                     co_return;
                 }
-                if (fault == "unframed-crash" && event == first + 3)
+                if (fault == "unframed-crash" && event == first + 3) {
+                    co_await sleepFor(m_server.faultDelay());
                     std::_Exit(1);
+                }
                 if ((fault.ends_with("cut") || fault == "cut-404") && event == first + 3) {
                     co_await responder.chunk(std::string_view(text).substr(0, text.size() / 2));
                     if (isUnframed)
--- a/fakes/replica.h
+++ b/fakes/replica.h
@@ -14,10 +14,12 @@
 // - "cut": closes the connection within an event of a stream.
 // - "cut-404": as "cut", and answers 404 to a stream that is resumed.
 // - "unframed": sends answers with neither a length nor chunks, whose end is the end of the connection.
-// - "unframed-crash": as "unframed", but ends the process between two events, or halfway through another answer.
+// - "unframed-crash": as "unframed", but ends the process after delayMs between two events, or halfway through
+//   another answer.
 // - "unframed-empty": as "unframed", but with an empty body.
 // - "unframed-cut": as "unframed", but ends within an event of a stream; other answers end with a reset.
 // - "fail": answers 500.
+// - "unmarked": runs the request and answers 503 without saying that it has not run.
 // - "slow": delays the answer by delayMs.
 // - "endless": sends a body, or for a stream an event, that has no end.
 // - "extra": sends a second answer after the first.
--- a/tests/direct-failure-test.cc
+++ b/tests/direct-failure-test.cc
@@ -253,6 +253,23 @@
     CHECK(cluster.recordsOf("t2").size() == 1);
 }
 
+// Fails if an endpoint's status that promises "not run" reaches the caller of a request that may have run.
+TEST_CASE("direct: an endpoint's 503 that does not say that the request has not run becomes 502 for an order")
+{
+    DirectCluster cluster;
+    REQUIRE(cluster.waitUntilReady());
+    for (const char* name : { "p1", "p2" })
+        cluster.setFault(name, "unmarked");
+    const HttpResult order = cluster.call("POST", "/once/1", "um1");
+    CHECK(order.status == 502);
+    CHECK(findHeader(order.headers, "X-Reply-Stamp").empty());
+    CHECK(cluster.recordsOf("um1").size() == 1);
+    // A request that may be repeated gets the endpoint's answer unchanged.
+    const HttpResult lookup = cluster.call("GET", "/lookup/1", "um2");
+    CHECK(lookup.status == 503);
+    CHECK(findHeader(lookup.headers, "X-Reply-Stamp").starts_with("stamp-p"));
+}
+
 TEST_CASE("direct: a stream whose endpoint restarted while the entry stood still never looks complete")
 {
     DirectCluster cluster;
