Check that a draining endpoint lives before its unframed answer counts as whole

Cause: the end of such an answer is checked against the endpoint's process, but not for an endpoint that is leaving, since its planned end would look the same. Nothing else tells the two apart.

Change: the check is made for leaving endpoints too. A planned end just after a whole answer then gives 502 or a resumed stream, which promise nothing; it still counts for nothing against the request.

The new failure test failed before (200 for the order, an incomplete stream as complete) and passes.

--- a/direct/attempt.cc
+++ b/direct/attempt.cc
@@ -140,7 +140,7 @@
     HttpResult callResult = co_await target->client->stream(std::move(call), std::move(hooks));
     silenceTimer->stop();
     const bool isBrokenOff = callResult.failure == HttpFailure::ConnectionLost || callResult.failure == HttpFailure::Truncated;
-    const bool mayBeCut = callResult.ok() && callResult.framing == BodyFraming::Connection && detail::isSuccess(answer.status) && !target->record.leaving;
+    const bool mayBeCut = callResult.ok() && callResult.framing == BodyFraming::Connection && detail::isSuccess(answer.status);
     const bool mayHaveCrashed = isBrokenOff && !job.callerGone && chunks < detail::answeringChunks;
     const bool endpointEnded = (mayBeCut || mayHaveCrashed) && co_await hasEnded(target, mayBeCut && isStream);
     if (mayBeCut && endpointEnded)
@@ -180,16 +180,18 @@
     if (callResult.ok() && result.reason != Reason::WrongEndpoint)
         dispatcher->health().onAnswer(target->record.id, std::chrono::duration_cast<Millis>(firstByteAt - sent), failed, Clock::now());
     const bool isUnanswered = callResult.failure == HttpFailure::Timeout || silenceTimer->attemptCancelled;
-    const bool isLost = (isBrokenOff || isUnanswered || (mayBeCut && endpointEnded)) && !job.callerGone;
+    // A whole answer may just have ended with a leaving endpoint, which proves nothing against the request.
+    const bool hasCrashed = endpointEnded && !(mayBeCut && target->record.leaving);
+    const bool isLost = (isBrokenOff || isUnanswered || (mayBeCut && hasCrashed)) && !job.callerGone;
     for (const std::string& digest : job.digests) {
         if (result.outcome == Outcome::Answered)
             poison.onCompleted(digest, Clock::now());
         else if (isLost)
             crashes.onLost({ target->record.id, processOf(target->record), digest, sent, Clock::now() });
     }
-    if (callResult.isRefused || endpointEnded)
+    if (callResult.isRefused || hasCrashed)
         onEndpointEnded(target->record.id);
-    result.endpointEnded = endpointEnded;
+    result.endpointEnded = hasCrashed;
     result.isAnswering = chunks >= detail::answeringChunks;
     updateCrashParts(request, job, *target, result);
     onAttemptEnded(job, result, callResult, head);
--- a/tests/direct-failure-test.cc
+++ b/tests/direct-failure-test.cc
@@ -253,6 +253,27 @@
     CHECK(cluster.recordsOf("t2").size() == 1);
 }
 
+// Fails if the end of a connection counts as the end of an answer because its endpoint is draining.
+TEST_CASE("direct: an answer that ends with the crash of a draining endpoint never looks complete")
+{
+    DirectCluster cluster;
+    REQUIRE(cluster.waitUntilReady());
+    for (const std::string& name : DirectCluster::endpointNames())
+        cluster.setFault(name, "unframed-crash", 600);
+    HttpResult stream;
+    HttpResult order;
+    std::thread streamCaller([&] { stream = cluster.call("POST", "/stream/1", "dc1"); });
+    std::thread orderCaller([&] { order = cluster.call("POST", "/once/1", "dc2"); });
+    std::this_thread::sleep_for(Millis(200));
+    for (const std::string& name : DirectCluster::endpointNames())
+        cluster.registerEndpoint(name, "draining");
+    streamCaller.join();
+    orderCaller.join();
+    CHECK_FALSE((stream.ok() && stream.body != completeStream()));
+    CHECK(order.status == 502);
+    CHECK(cluster.recordsOf("dc2").size() == 1);
+}
+
 // Fails if an endpoint's status that promises "not run" reaches the caller of a request that may have run.
 TEST_CASE("direct: an endpoint's 503 that does not say that the request has not run becomes 502 for an order")
 {
