--- a/gateway/client.cc
+++ b/gateway/client.cc
@@ -61,16 +61,21 @@
 
     using StreamPtr = std::shared_ptr<PooledStream>;
 
-    // Configures TCP keep-alive so that the kernel closes a connection after about 4 s without any
+    constexpr int keepAliveIdleSeconds = 1;
+    constexpr int keepAliveIntervalSeconds = 1;
+
+    // Configures TCP keep-alive so that the kernel closes a connection after some seconds without any
     // packet from the peer. Calls may take longer than that while the peer's host is reachable.
-    void enableDeadPeerDetection(int socket)
+    void enableDeadPeerDetection(int socket, int probes)
     {
-        constexpr int idleSeconds = 1;
-        constexpr int intervalSeconds = 1;
-        constexpr int probes = 3;
+        constexpr int idleSeconds = keepAliveIdleSeconds;
+        constexpr int intervalSeconds = keepAliveIntervalSeconds;
         constexpr int on = 1;
-        // How long sent data may stay unacknowledged; matches the duration of the probes.
-        constexpr unsigned userTimeoutMillis = 3000;
+        // How long sent data may stay unacknowledged: the duration of the probes, but enough for some
+        // retransmissions.
+        constexpr int minUserTimeoutSeconds = 2;
+        constexpr unsigned millisPerSecond = 1000;
+        const unsigned userTimeoutMillis = millisPerSecond * static_cast<unsigned>(std::max(minUserTimeoutSeconds, probes * intervalSeconds));
         setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMillis, sizeof userTimeoutMillis);
         setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
         setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &idleSeconds, sizeof idleSeconds);
@@ -109,9 +114,10 @@
 } // namespace detail
 
 struct HttpClient::State {
-    State(asio::any_io_executor executor, std::string_view address, uint16_t port)
+    State(asio::any_io_executor executor, std::string_view address, uint16_t port, int probes)
         : m_executor(std::move(executor))
         , m_endpoint(asio::ip::make_address(address), port)
+        , m_probes(probes)
     {
     }
 
@@ -152,7 +158,7 @@
         co_await stream->m_stream.async_connect(m_endpoint, asio::redirect_error(asio::use_awaitable, error));
         if (!error) {
             stream->m_stream.socket().set_option(tcp::no_delay(true), error);
-            detail::enableDeadPeerDetection(stream->m_stream.socket().native_handle());
+            detail::enableDeadPeerDetection(stream->m_stream.socket().native_handle(), m_probes);
         }
         co_return stream;
     }
@@ -168,6 +174,7 @@
 
     asio::any_io_executor m_executor;
     tcp::endpoint m_endpoint;
+    int m_probes;
     std::vector<detail::StreamPtr> m_idle;
 };
 
@@ -285,9 +292,14 @@
 
 } // namespace detail
 
-HttpClient::HttpClient(asio::any_io_executor executor, std::string_view address, uint16_t port)
-    : m_state(std::make_shared<State>(std::move(executor), address, port))
+HttpClient::HttpClient(asio::any_io_executor executor, std::string_view address, uint16_t port, int probes)
+    : m_state(std::make_shared<State>(std::move(executor), address, port, probes))
+{
+}
+
+Millis HttpClient::silenceLimit() const
 {
+    return std::chrono::seconds(detail::keepAliveIdleSeconds + m_state->m_probes * detail::keepAliveIntervalSeconds);
 }
 
 HttpClient::~HttpClient() = default;
--- a/gateway/http.h
+++ b/gateway/http.h
@@ -223,9 +223,16 @@
 // before. Requests without an id take the first response that names none.
 class HttpClient {
 public:
-    HttpClient(boost::asio::any_io_executor, std::string_view address, uint16_t port);
+    // A connection from which nothing comes for a second is probed, and counts as lost after this many unanswered
+    // probes, one a second. Fewer show a silent connection sooner, but end more of them on links that lose packets.
+    static constexpr int defaultProbes = 3;
+
+    HttpClient(boost::asio::any_io_executor, std::string_view address, uint16_t port, int probes = defaultProbes);
     ~HttpClient();
 
+    // Longest time until a silent connection counts as lost.
+    Millis silenceLimit() const;
+
     // Sends the request and returns the complete response.
     Task<HttpResult> call(HttpCall);
 
