--- a/gateway/client.cc
+++ b/gateway/client.cc
@@ -54,8 +54,9 @@
         std::optional<Millis> m_peerKeepAlive;
         // Hashes of the ids of all requests that were sent on the connection.
         std::vector<uint64_t> m_requestIds;
-        // A response has been received on the connection, or one that names no request.
+        // A response has been received on the connection.
         bool m_hasResponse = false;
+        // One of them named no request.
         bool m_hasUnnamedResponse = false;
     };
 
@@ -127,7 +128,7 @@
     detail::StreamPtr takeIdle(Millis maxIdle, std::optional<uint64_t> requestId)
     {
         for (size_t index = m_idle.size(); index-- > 0;) {
-            const detail::StreamPtr stream = m_idle[index];
+            detail::StreamPtr stream = m_idle[index];
             const auto idle = Clock::now() - stream->m_lastUsed;
             const bool isExpired = idle > maxIdle || (stream->m_peerKeepAlive && idle + detail::keepAliveMargin > *stream->m_peerKeepAlive);
             const bool isUsable = !isExpired && isOpenAndQuiet(*stream);
