--- a/tests/process.cc
+++ b/tests/process.cc
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
+#include <iostream>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <thread>
@@ -40,6 +41,11 @@
     constexpr int portsPerCluster = 150;
     static int reserved = 0;
     const char* port = std::getenv("ORIOLETRAIL_TEST_PORT");
+    const char* clusters = std::getenv("ORIOLETRAIL_TEST_CLUSTERS");
+    if (clusters && reserved >= std::atoi(clusters)) {
+        std::cerr << "the tests start more than " << clusters << " clusters, whose ports are those of another group\n";
+        std::abort();
+    }
     return (port ? std::atoi(port) : defaultPort) + reserved++ * portsPerCluster;
 }
 
