--- a/base/types.h
+++ b/base/types.h
@@ -19,6 +19,22 @@
 // HTTP header fields in the order received, with names spelled as received.
 using HeaderList = std::vector<std::pair<std::string, std::string>>;
 
+// Number of tokens that a request to a model engine states; 0 where it states none.
+struct RequestSize {
+    uint32_t promptTokens = 0;
+    uint32_t maxOutputTokens = 0;
+    // The caller's estimate of the output tokens: right at the median, often far off.
+    uint32_t estimatedOutputTokens = 0;
+};
+
+// A part at the beginning of a prompt that other requests may share.
+struct PromptPart {
+    uint64_t hash = 0;
+    uint32_t tokens = 0;
+
+    bool operator==(const PromptPart&) const = default;
+};
+
 // Identifies one attempt to run a request. `entryIncarnation` is a random number that the entry
 // process draws when it starts, so that a restarted entry does not reuse identifiers.
 struct AttemptId {
--- a/direct/request.cc
+++ b/direct/request.cc
@@ -51,6 +51,9 @@
     job->received = Clock::now();
     job->caller = decodeCaller(request);
     job->timeLeft = job->caller.timeLeft;
+    job->size = job->caller.size;
+    for (size_t part = 0; part < job->caller.promptParts.size(); ++part)
+        job->promptParts.push_back({ job->caller.promptParts[part], job->caller.promptPartTokens[part] });
     metrics.count("orioletrail_requests_total");
     if (const std::optional<DirectRefusal> refusal = resolve(request, *job)) {
         co_await refuse(responder, *job, *refusal);
--- a/direct/state.h
+++ b/direct/state.h
@@ -66,7 +66,6 @@
 struct DirectJob : DispatchRequest {
     CallerRequest caller;
     std::shared_ptr<const Catalog> catalog;
-    std::string account;
     // Hashes of the request's content, by which it is recognized when it is sent again.
     std::vector<std::string> digests;
     // When the caller stops waiting or the route's timeout ends, whichever is sooner.
--- a/directory/catalog.h
+++ b/directory/catalog.h
@@ -59,6 +59,18 @@
     // milliseconds.
     double stepMs = 0;
     double perSequenceMs = 0;
+    // Milliseconds that each thousand tokens of context of a sequence that is generating tokens add to a step.
+    double contextMsPerThousand = 0;
+    // Prompt tokens that an engine reads in a millisecond, 0 if unknown, and the most that it reads in a step.
+    double promptTokensPerMs = 0;
+    uint32_t promptChunk = 0;
+    // Milliseconds added for each million pairs of a prompt token and an earlier one.
+    double pairsMsPerMillion = 0;
+    // Tokens of prompts and answers that an engine's memory holds, 0 if unknown.
+    uint32_t memoryTokens = 0;
+    // Mean number of tokens of a prompt and of an answer, 0 if unknown.
+    double usualPromptTokens = 0;
+    double usualOutputTokens = 0;
     // Age of an engine's status reports when other machines get them.
     Millis reportLag { 0 };
     // Share of the per-token work that is done by experts, from 0 to 1.
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -33,6 +33,11 @@
     std::vector<std::string> tried;
     // Number of earlier attempts.
     uint32_t attempts = 0;
+    // Client account of the caller, empty if it has none.
+    std::string account {};
+    RequestSize size {};
+    // Parts at the beginning of the prompt that other requests may share, in their order.
+    std::vector<PromptPart> promptParts {};
 };
 
 enum class DispatchKind : uint8_t {
