--- /dev/null
+++ b/outage/outages.h
@@ -0,0 +1,96 @@
+// Groups of engines that run no requests because one of their ranks has failed.
+#pragma once
+
+#include "base/types.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+
+namespace orioletrail {
+
+// What one instance has seen of a group itself, as it tells it to the others. Instances do not pass on what they have
+// heard: times would move on with each message, and an outage would never end.
+struct OutageReport {
+    // Time since the group last failed for this instance, and since it last served after a failure.
+    std::optional<Millis> failedAgo {};
+    std::optional<Millis> servedAgo {};
+
+    bool operator==(const OutageReport&) const = default;
+};
+using OutageReports = std::map<std::string, OutageReport, std::less<>>;
+
+struct OutageSettings {
+    // Time between two requests of an instance that try whether the group serves again. A group takes some
+    // hundred milliseconds to form.
+    Millis probeInterval { 250 };
+    // Number of instances that send such requests; the others learn the result from them.
+    size_t probers = 2;
+    // An outage about which nothing was heard for this long is over.
+    Millis expiry { 5000 };
+    // Age up to which an instance tells the others what it has seen.
+    Millis reportMaxAge { 1000 };
+    // Longest delay of a report. What others saw may have happened this long before it seems to.
+    Millis reportDelay { 100 };
+    // Most groups that are kept from reports.
+    size_t maxGroups = 1024;
+};
+
+// Answers this load: one rank of a group of engines fails, and all others reject what they get at once. They have
+// nothing in flight then and would attract all requests of the service, while other groups have room.
+//
+// Knows the groups by name; an endpoint that belongs to no known group is a group of its own.
+class Outages {
+public:
+    // `instance` is this instance's name.
+    explicit Outages(std::string instance = {}, const OutageSettings& settings = {})
+        : m_instance(std::move(instance))
+        , m_settings(settings)
+    {
+    }
+
+    // A rank of the group has ended, or rejected a request although it had room. `sent` is when the request was
+    // sent. Returns whether the outage is new.
+    bool onFailed(std::string_view group, TimePoint sent, TimePoint now);
+    // A rank of the group has begun to answer a request sent at `sent`. Returns whether that ends an outage.
+    bool onServed(std::string_view group, TimePoint sent, TimePoint now);
+    // A request was sent to the group.
+    void onSent(std::string_view group, TimePoint now);
+
+    // True if the group gets no requests now: it is out, and no request is due that tries it.
+    bool isOut(std::string_view group, TimePoint now) const;
+
+    // What this instance knows, for the others; empty in calm.
+    OutageReports report(TimePoint now) const;
+    // Merges what another instance has reported, and notes that it is alive.
+    void onPeerReport(std::string_view peer, const OutageReports&, TimePoint now);
+
+    // Number of groups that are out.
+    size_t count(TimePoint now) const;
+
+private:
+    // What is known of a group. A time point of 0 stands for never.
+    struct Outage {
+        TimePoint ownFailed;
+        TimePoint ownServed;
+        TimePoint peerFailed;
+        TimePoint peerServed;
+        TimePoint nextProbe;
+
+        TimePoint failed() const { return std::max(ownFailed, peerFailed); }
+        TimePoint served() const { return std::max(ownServed, peerServed); }
+    };
+
+    bool isActive(const Outage&, TimePoint now) const;
+    // True if this instance is one of those that try whether the group serves again.
+    bool isProber(std::string_view group, TimePoint now) const;
+    void removeExpired(TimePoint now);
+
+    std::string m_instance;
+    OutageSettings m_settings;
+    std::map<std::string, Outage, std::less<>> m_outages;
+    // Instances that were heard recently.
+    std::map<std::string, TimePoint, std::less<>> m_peers;
+};
+
+} // namespace orioletrail
