--- a/outage/outages-test.cc
+++ b/outage/outages-test.cc
@@ -146,6 +146,19 @@
     CHECK(outages.isOut("a", start + Millis(651)));
 }
 
+TEST_CASE("a request that one rank cannot hold does not close its group, but rejections by two ranks do")
+{
+    Outages outages("e-1");
+    for (int request = 0; request < 10; ++request)
+        CHECK_FALSE(outages.onRejected("a", "rank-1", start, start + Millis(request)));
+    CHECK_FALSE(outages.isOut("a", start + Millis(10)));
+    CHECK_FALSE(outages.onRejected("a", "rank-2", start, start + Millis(600)));
+    outages.onServed("a", start, start + Millis(610));
+    CHECK_FALSE(outages.onRejected("a", "rank-3", start, start + Millis(620)));
+    CHECK(outages.onRejected("a", "rank-4", start, start + Millis(630)));
+    CHECK(outages.isOut("a", start + Millis(631)));
+}
+
 TEST_CASE("an outage about which nothing is heard ends, and reports cannot fill the memory")
 {
     Outages outages("e-1");
--- a/outage/outages.cc
+++ b/outage/outages.cc
@@ -30,8 +30,20 @@
     return isNew;
 }
 
+bool Outages::onRejected(std::string_view group, std::string_view endpoint, TimePoint sent, TimePoint now)
+{
+    std::erase_if(m_rejections, [&](const auto& item) { return now - item.second.at >= m_settings.confirmWithin; });
+    const auto known = m_outages.find(group);
+    const auto earlier = m_rejections.find(group);
+    const bool isConfirmed = (known != m_outages.end() && isActive(known->second, now)) || (earlier != m_rejections.end() && earlier->second.endpoint != endpoint);
+    m_rejections.insert_or_assign(std::string(group), Rejection { std::string(endpoint), now });
+    return isConfirmed && onFailed(group, sent, now);
+}
+
 bool Outages::onServed(std::string_view group, TimePoint sent, TimePoint now)
 {
+    if (const auto rejection = m_rejections.find(group); rejection != m_rejections.end())
+        m_rejections.erase(rejection);
     const auto found = m_outages.find(group);
     // An answer to a request that was sent before the failure may still be on its way.
     if (found == m_outages.end() || !isActive(found->second, now) || sent < found->second.failed())
--- a/outage/outages.h
+++ b/outage/outages.h
@@ -30,6 +30,9 @@
     Millis expiry { 5000 };
     // Age up to which an instance tells the others what it has seen.
     Millis reportMaxAge { 1000 };
+    // Two endpoints of a group that reject requests within this time are taken for an outage. One alone may have
+    // rejected a request that it cannot hold.
+    Millis confirmWithin { 500 };
     // Longest delay of a report. What others saw may have happened this long before it seems to.
     Millis reportDelay { 100 };
     // Most groups that are kept from reports.
@@ -39,7 +42,7 @@
 // Answers this load: one rank of a group of engines fails, and all others reject what they get at once. They have
 // nothing in flight then and would attract all requests of the service, while other groups have room.
 //
-// Knows the groups by name; an endpoint that belongs to no known group is a group of its own.
+// Knows groups by their names only.
 class Outages {
 public:
     // `instance` is this instance's name.
@@ -49,9 +52,11 @@
     {
     }
 
-    // A rank of the group has ended, or rejected a request although it had room. `sent` is when the request was
-    // sent. Returns whether the outage is new.
+    // A rank of the group has ended. `sent` is when the request was sent that showed it. Returns whether the outage is
+    // new.
     bool onFailed(std::string_view group, TimePoint sent, TimePoint now);
+    // The endpoint, a rank of the group, rejected a request although it had room. Returns whether an outage is new.
+    bool onRejected(std::string_view group, std::string_view endpoint, TimePoint sent, TimePoint now);
     // A rank of the group has begun to answer a request sent at `sent`. Returns whether that ends an outage.
     bool onServed(std::string_view group, TimePoint sent, TimePoint now);
     // A request was sent to the group.
@@ -81,6 +86,12 @@
         TimePoint served() const { return std::max(ownServed, peerServed); }
     };
 
+    // The last rejection by a rank with room.
+    struct Rejection {
+        std::string endpoint;
+        TimePoint at;
+    };
+
     bool isActive(const Outage&, TimePoint now) const;
     // True if this instance is one of those that try whether the group serves again.
     bool isProber(std::string_view group, TimePoint now) const;
@@ -89,6 +100,7 @@
     std::string m_instance;
     OutageSettings m_settings;
     std::map<std::string, Outage, std::less<>> m_outages;
+    std::map<std::string, Rejection, std::less<>> m_rejections;
     // Instances that were heard recently.
     std::map<std::string, TimePoint, std::less<>> m_peers;
 };
