--- a/routing/placer-test.cc
+++ b/routing/placer-test.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <doctest/doctest.h>
 #include <random>
 #include <set>
@@ -203,3 +204,58 @@
     CHECK(different.rejected * 3 < alike.rejected * 2);
     CHECK(different.pairs < alike.pairs);
 }
+
+TEST_CASE("a saving decides only where the request starts no later, and makes no endpoint hot")
+{
+    std::array options { option("a", 3), option("b", 3), option("c", 4) };
+    options[1].saving = 0.2;
+    CHECK(placeRequest(options, "z1").index == 1);
+    CHECK(placeRequest(options, "z1").indexWithoutSaving == 0);
+    options[1].saving = 0;
+    options[2].saving = 0.9;
+    CHECK(placeRequest(options, "z1").index == 0);
+    options[2].saving = 1.1;
+    CHECK(placeRequest(options, "z1").index == 2);
+    // The preference spreads requests; it is no time that a saving could win.
+    options[0].preference = 1;
+    options[1].preference = 1;
+    options[2].saving = 0.5;
+    CHECK(placeRequest(options, "z1").index != 2);
+    options[2].saving = 1e6;
+    options[2].load = 6;
+    CHECK(placeRequest(options, "z1").index != 2);
+    options[2].load = 4;
+    options[2].avoided = true;
+    CHECK(placeRequest(options, "z1").index != 2);
+}
+
+TEST_CASE("for any state of the endpoints a saving never makes a request start later")
+{
+    std::mt19937_64 random(11);
+    const auto uniform = [&](double most) { return std::uniform_real_distribution<double>(0, most)(random); };
+    size_t moved = 0;
+    for (int round = 0; round < 20'000; ++round) {
+        std::vector<PlaceOption> options;
+        for (int number = 0; number < 12; ++number) {
+            options.push_back(option("e", std::floor(uniform(13)), random() % 2 ? "z1" : "z2"));
+            PlaceOption& added = options.back();
+            added.slowness = random() % 4 ? 1 : 1 + uniform(3);
+            added.preference = uniform(1);
+            added.closed = random() % 8 == 0;
+            added.avoided = random() % 8 == 0;
+            added.saving = random() % 3 ? 0 : uniform(random() % 2 ? 0.3 : 10);
+        }
+        const PlaceChoice choice = placeRequest(options, "z1");
+        if (choice.failure != PlaceFailure::None)
+            continue;
+        const auto start = [](const PlaceOption& item) { return (item.load + 1) * item.slowness + (item.zone == "z1" ? 0 : 0.25) - item.saving; };
+        const PlaceOption& chosen = options[choice.index];
+        const PlaceOption& without = options[choice.indexWithoutSaving];
+        REQUIRE(start(chosen) <= start(without) + 1e-9);
+        REQUIRE(!chosen.closed);
+        REQUIRE(chosen.load + 1 <= chosen.limit);
+        REQUIRE(chosen.avoided == without.avoided);
+        moved += choice.index != choice.indexWithoutSaving;
+    }
+    CHECK(moved > 1000);
+}
