Place requests by the parts of prompts that endpoints hold, and explain placements

When an endpoint of a service restarts or breaks off an answer, what is known of all endpoints of the service is dropped, since their group forms anew. Counters and fields of the line of each request tell what was weighed.

--- a/bench/experiment.cc
+++ b/bench/experiment.cc
@@ -43,12 +43,13 @@
         return 1;
     }
     std::printf("%s: %s\n%u seeds, %.0f simulated seconds each\n\n", scenario->name.c_str(), scenario->about.c_str(), options.seeds, scenario->seconds);
-    std::printf("| policy | value | lowest value | in time | late | late by pauses | refused | failed | long prompts | first event p50 | p99 |\n|---|---|---|---|---|---|---|---|---|---|---|\n");
+    std::printf("| policy | value | lowest value | in time | late | late by pauses | refused | failed | long prompts | first event p50 | p99 | tokens read, thousands | tokens saved as predicted | moved for parts | peak load |\n|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n");
     std::ofstream plot;
     if (!options.plotFile.empty()) {
         plot.open(options.plotFile);
         plot << "# gnuplot: plot for [i=0:*] FILE index i using 1:2 with lines title columnheader(1)\n";
     }
+    constexpr double tokensPerThousand = 1000;
     for (const model::Policy& policy : model::allPolicies()) {
         model::OutcomeCounts total;
         model::OutcomeCounts longPrompts;
@@ -56,6 +57,10 @@
         double p50 = 0;
         double p99 = 0;
         double lowestValue = 1;
+        double tokensRead = 0;
+        double tokensSaved = 0;
+        double moved = 0;
+        double peakLoad = 0;
         for (uint32_t seed = 1; seed <= options.seeds; ++seed) {
             const model::SimulationResult result = model::simulate(*scenario, policy, seed);
             addCounts(total, result.total);
@@ -65,10 +70,14 @@
                 addCounts(windowCounts[window], result.series[window]);
             p50 += result.firstEventQuantile(0.5) / options.seeds;
             p99 += result.firstEventQuantile(0.99) / options.seeds;
+            tokensRead += result.tokensRead / options.seeds;
+            tokensSaved += result.tokensSaved / options.seeds;
+            moved += static_cast<double>(result.moved) / options.seeds;
+            peakLoad += result.peakLoad / options.seeds;
             lowestValue = std::min(lowestValue, result.total.value());
         }
-        std::printf("| %s | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.0f ms | %.0f ms |\n", policy.name.c_str(), total.value(), lowestValue, ratio(total.inTime, total.asked),
-            ratio(total.late, total.asked), ratio(total.lateByPause, total.asked), ratio(total.refused, total.asked), ratio(total.failed, total.asked), longPrompts.value(), p50, p99);
+        std::printf("| %s | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.1f ms | %.1f ms | %.1f | %.1f | %.0f | %.2f |\n", policy.name.c_str(), total.value(), lowestValue, ratio(total.inTime, total.asked),
+            ratio(total.late, total.asked), ratio(total.lateByPause, total.asked), ratio(total.refused, total.asked), ratio(total.failed, total.asked), longPrompts.value(), p50, p99, tokensRead / tokensPerThousand, tokensSaved / tokensPerThousand, moved, peakLoad);
         if (!plot)
             continue;
         // Length of the windows of SimulationResult::series.
--- a/cmd/ctl.cc
+++ b/cmd/ctl.cc
@@ -1,5 +1,7 @@
 #include "cmd/ctl.h"
 
+#include "explain/query.h"
+#include "explain/text.h"
 #include "gateway/http.h"
 #include "operator/command.h"
 
@@ -19,6 +21,8 @@
     namespace json = boost::json;
 
     constexpr Millis callTimeout { 10'000 };
+    // Words with which the command begins that a direct entry answers.
+    constexpr std::string_view explainCommand = "explain placement";
 
     std::string joinWords(const std::vector<std::string>& words)
     {
@@ -28,10 +32,21 @@
         return line;
     }
 
+    bool isExplanation(const CtlSettings& settings)
+    {
+        const std::vector<std::string>& words = settings.commandWords;
+        return words.size() >= 2 && words[0] + ' ' + words[1] == explainCommand;
+    }
+
     // Makes the request for a command line. "apply FILE" sends the contents of the file. Returns
     // nothing and sets `reason` if the file cannot be read.
-    std::optional<HttpRequest> makeRequest(const std::string& line, std::string& reason)
+    std::optional<HttpRequest> makeRequest(const CtlSettings& settings, std::string& reason)
     {
+        const std::string line = joinWords(settings.commandWords);
+        if (isExplanation(settings)) {
+            const auto target = makeExplainTarget(std::span(settings.commandWords).subspan(2), reason);
+            return target ? std::optional(HttpRequest { "GET", *target, { { "Host", settings.entry } }, {} }) : std::nullopt;
+        }
         constexpr std::string_view apply = "apply ";
         if (!line.starts_with(apply))
             return HttpRequest { "POST", "/v1/command", {}, line };
@@ -59,6 +74,28 @@
         }
     }
 
+    // Prints the answer of a direct entry. Returns the exit code of the process.
+    int printExplanation(const HttpResult& result, const CtlSettings& settings)
+    {
+        constexpr unsigned ok = 200;
+        constexpr unsigned badRequest = 400;
+        constexpr unsigned notFound = 404;
+        if (const auto text = explanationText(result.body); result.ok() && result.status == ok && text) {
+            std::cout << (settings.output == "json" ? result.body + '\n' : *text);
+            return static_cast<int>(CommandStatus::Done);
+        }
+        boost::system::error_code error;
+        const json::value value = json::parse(result.body, error);
+        const json::object* object = error ? nullptr : value.if_object();
+        const json::value* message = object ? object->if_contains("error") : nullptr;
+        if (!result.ok() || !message || !message->is_string() || (result.status != badRequest && result.status != notFound)) {
+            std::cerr << "orioletrail: no explanation from the metrics port of a direct entry at " << settings.entry << '\n';
+            return static_cast<int>(CommandStatus::Unknown);
+        }
+        std::cerr << "orioletrail: " << message->get_string().c_str() << '\n';
+        return static_cast<int>(result.status == badRequest ? CommandStatus::BadCommand : CommandStatus::NotFound);
+    }
+
     // Prints the answer to a command. Returns the exit code of the process.
     int printResult(const HttpResult& result, const CtlSettings& settings)
     {
@@ -85,7 +122,7 @@
 
 void addCtlOptions(CLI::App& app, CtlSettings& settings)
 {
-    app.add_option("--entry", settings.entry, "IP:PORT of an entry's --admin")->capture_default_str();
+    app.add_option("--entry", settings.entry, "IP:PORT of an entry's --admin, or of a direct entry's metrics port for: explain placement")->capture_default_str();
     app.add_option("--output", settings.output, "table or json")->check(CLI::IsMember({ "table", "json" }))->capture_default_str();
     app.add_option("command", settings.commandWords, "the command, such as: show zones")->required();
 }
@@ -96,7 +133,7 @@
     std::string reason = "--entry: \"" + settings.entry + "\" is not an address of the form IP:PORT";
     std::optional<HttpRequest> request;
     if (address)
-        request = detail::makeRequest(detail::joinWords(settings.commandWords), reason);
+        request = detail::makeRequest(settings, reason);
     if (!request) {
         std::cerr << "orioletrail: " << reason << '\n';
         return static_cast<int>(CommandStatus::BadCommand);
@@ -113,7 +150,7 @@
         },
         boost::asio::detached);
     context.run();
-    return detail::printResult(result, settings);
+    return detail::isExplanation(settings) ? detail::printExplanation(result, settings) : detail::printResult(result, settings);
 }
 
 } // namespace orioletrail
--- a/cmd/ctl.h
+++ b/cmd/ctl.h
@@ -11,7 +11,7 @@
 namespace orioletrail {
 
 struct CtlSettings {
-    // The entry's --admin address, "IP:PORT".
+    // The entry's --admin address, "IP:PORT"; for "explain placement" the metrics address of a direct entry.
     std::string entry = "127.0.0.1:8081";
     // Output format: "table" or "json".
     std::string output = "table";
--- a/cmd/main.cc
+++ b/cmd/main.cc
@@ -83,6 +83,7 @@
         app.add_option("--metrics-port", settings.metricsPort, "port for metrics, 0 for none")->capture_default_str()->group("Addresses");
         addMillisOption(app, "--store-timeout", settings.storeTimeout, 10, 60'000, "timeout of a call to the platform's store");
         addMillisOption(app, "--connect-timeout", settings.connectTimeout, 10, 60'000, "timeout for opening a connection to an endpoint");
+        addMillisOption(app, "--part-retention", settings.partRetention, 0, 86'400'000, "how long engines keep parts of prompts after the last request that has them");
     }
 
     void addEngineSidecarOptions(CLI::App& app, EngineSidecarSettings& settings)
--- a/direct/attempt.cc
+++ b/direct/attempt.cc
@@ -120,6 +120,8 @@
         const std::string events = job.events.push(bytes);
         if (events.empty() || !isCallerConnected)
             co_return job.events.remainder().size() <= detail::maxEventBytes;
+        if (!chunks)
+            dispatcher->onPromptRead(job, target->record.id, Clock::now());
         if (++chunks == detail::answeringChunks)
             crashParts.onAnswering(job.caller.promptParts, sent, Clock::now());
         onEvents(job, sent);
@@ -147,6 +149,10 @@
         callResult.failure = HttpFailure::Truncated;
     job.framing = callResult.framing;
     dispatcher->onEnded(job.service, target->record.id, Clock::now());
+    if (chunks)
+        dispatcher->onPromptEnded(job, target->record.id, Clock::now());
+    if (endpointEnded || (isBrokenOff && !job.callerGone))
+        dispatcher->onPartsLost(target->record.id);
     if (callResult.droppedResponses)
         metrics.count("orioletrail_dropped_answers_total", {}, callResult.droppedResponses);
     DirectAttemptResult result;
--- a/direct/direct.cc
+++ b/direct/direct.cc
@@ -1,6 +1,7 @@
 #include "direct/direct.h"
 
 #include "direct/state.h"
+#include "explain/query.h"
 #include "gateway/async.h"
 #include "telemetry/log.h"
 
@@ -74,6 +75,7 @@
         return false;
     }
     dispatcher = std::make_unique<Dispatcher>(platform.zone, DispatchRules {}, platform.instance);
+    dispatcher->setPartRetention(settings.partRetention);
     PoisonSettings poisonSettings;
     poisonSettings.refuseAfter = detail::maxDeathsPerRequest;
     poison = PoisonRecords(poisonSettings);
@@ -101,7 +103,15 @@
         traffic.get_executor(), HttpLimits {}, [this](const HttpRequest& request, Responder& responder) { return handleRequest(request, responder); }, refuseInvalid);
     auto serveAdmin = [this](const HttpRequest& request, Responder& responder) { return serveReadinessOrMetrics(request, responder); };
     readinessServer = std::make_unique<HttpServer>(traffic.get_executor(), HttpLimits {}, serveAdmin, refuseInvalid);
-    metricsServer = std::make_unique<HttpServer>(traffic.get_executor(), HttpLimits {}, serveAdmin, refuseInvalid);
+    auto serveMetrics = [this](const HttpRequest& request, Responder& responder) -> Task<> {
+        if (request.path() != explainPath) {
+            co_await serveReadinessOrMetrics(request, responder);
+            co_return;
+        }
+        const HttpResponse answer = explainPlacement(request);
+        co_await responder.respond(answer);
+    };
+    metricsServer = std::make_unique<HttpServer>(traffic.get_executor(), HttpLimits {}, serveMetrics, refuseInvalid);
     peerServer = std::make_unique<HttpServer>(
         traffic.get_executor(), HttpLimits {}, [this](const HttpRequest& request, Responder& responder) { return serveConfiguration(request, responder); }, refuseInvalid);
     feedServer = std::make_unique<HttpServer>(
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -14,6 +14,8 @@
     Millis storeTimeout { 1000 };
     // Timeout for connecting to an endpoint.
     Millis connectTimeout { 400 };
+    // How long engines keep parts of prompts after the last request that has them.
+    Millis partRetention { 0 };
 };
 
 class DirectEntry {
--- a/direct/request.cc
+++ b/direct/request.cc
@@ -73,13 +73,29 @@
 }
 
 std::optional<DirectRefusal> DirectEntry::State::resolve(const HttpRequest& request, DirectJob& job)
+{
+    if (const std::optional<DirectRefusal> refusal = refusalForState(job.received))
+        return refusal;
+    if (const std::optional<DirectRefusal> refusal = findRoute(request.path(), job))
+        return refusal;
+    chooseService(job);
+    job.digests = detail::requestDigests(request, job);
+    return refusalForCrashes(job, job.received);
+}
+
+std::optional<DirectRefusal> DirectEntry::State::refusalForState(TimePoint now)
 {
     if (!isCaughtUp())
         return DirectRefusal { 503, Reason::NoConfiguration, Outcome::NotRun, detail::startupRetryAfter };
-    if (stoppingSince && job.received - *stoppingSince > detail::acceptWhileStopping)
+    if (stoppingSince && now - *stoppingSince > detail::acceptWhileStopping)
         return DirectRefusal { 503, Reason::ShuttingDown, Outcome::NotRun, detail::rejectedRetryAfter };
+    return std::nullopt;
+}
+
+std::optional<DirectRefusal> DirectEntry::State::findRoute(std::string_view path, DirectJob& job)
+{
     job.catalog = snapshot.catalog;
-    job.route = job.catalog->findRoute(job.caller.host, request.path());
+    job.route = job.catalog->findRoute(job.caller.host, path);
     if (!job.route)
         return DirectRefusal { 404, Reason::UnknownRoute, Outcome::NotRun, Millis(0) };
     const AccountProfile* account = job.catalog->findAccount(job.caller.apiKey);
@@ -91,9 +107,7 @@
         job.priority = account->priority.value_or(job.priority);
     }
     job.deadline = job.received + std::min(job.caller.timeLeft.value_or(detail::defaultTimeLeft), job.route->timeout);
-    chooseService(job);
-    job.digests = detail::requestDigests(request, job);
-    return refusalForCrashes(job, job.received);
+    return std::nullopt;
 }
 
 std::optional<DirectRefusal> DirectEntry::State::refusalForCrashes(const DirectJob& job, TimePoint now) const
@@ -159,10 +173,23 @@
 {
     const std::optional<std::string> endpoint = dispatcher->reserve(job, Clock::now());
     if (endpoint)
-        job.target = targets.at(*endpoint);
+        onPlaced(job, *endpoint);
     return endpoint.has_value();
 }
 
+void DirectEntry::State::onPlaced(DirectJob& job, const std::string& endpoint)
+{
+    job.target = targets.at(endpoint);
+    job.partDecision = dispatcher->lastPartDecision();
+    if (!job.partDecision.wasWeighed)
+        return;
+    metrics.count("orioletrail_prompt_parts_total", "event=\"weighed\"");
+    if (job.partDecision.wasMoved)
+        metrics.count("orioletrail_prompt_parts_total", "event=\"moved\"");
+    if (job.partDecision.savedTokens)
+        metrics.count("orioletrail_prompt_tokens_saved_total", {}, job.partDecision.savedTokens);
+}
+
 Task<std::optional<DirectRefusal>> DirectEntry::State::reservePlace(DirectJob& job)
 {
     const TimePoint queuedAt = Clock::now();
@@ -170,7 +197,7 @@
     if (decision.kind == DispatchKind::Refused)
         co_return DirectRefusal { 503, decision.reason, Outcome::NotRun, decision.retryAfter };
     if (decision.kind == DispatchKind::Placed) {
-        job.target = targets.at(decision.endpoint);
+        onPlaced(job, decision.endpoint);
         co_return std::nullopt;
     }
     job.queueTimer = std::make_shared<asio::steady_timer>(traffic);
@@ -278,7 +305,8 @@
             { "waitedMs", number(job.queueTime.count()) }, { "tookMs", number(duration.count()) },
             { "timeLeftMs", number(job.caller.timeLeft.value_or(Millis(0)).count()) },
             { "configuration", number(job.catalog ? job.catalog->version() : 0) }, { "framing", std::string(bodyFramingName(job.framing)) },
-            { "lastEvent", job.events.lastId() }, { "partialEventBytes", number(job.events.remainder().size()) } });
+            { "lastEvent", job.events.lastId() }, { "partialEventBytes", number(job.events.remainder().size()) },
+            { "savedTokens", number(job.partDecision.savedTokens) }, { "movedForParts", job.partDecision.wasMoved ? "true" : "false" } });
 }
 
 } // namespace orioletrail
--- a/direct/state.h
+++ b/direct/state.h
@@ -99,6 +99,8 @@
     std::shared_ptr<boost::asio::steady_timer> queueTimer;
     // Total time spent waiting for a place.
     Millis queueTime { 0 };
+    // What was weighed of shared parts of the prompt when the last attempt's endpoint was chosen.
+    PartDecision partDecision;
 };
 
 // Result of one attempt.
@@ -136,6 +138,10 @@
     std::optional<DirectRefusal> resolve(const HttpRequest&, DirectJob&);
     // Returns a refusal if the request, or a part of its prompt, crashes endpoints.
     std::optional<DirectRefusal> refusalForCrashes(const DirectJob&, TimePoint) const;
+    // Returns a refusal if this entry takes no requests, because it has no configuration yet or is stopping.
+    std::optional<DirectRefusal> refusalForState(TimePoint);
+    // Finds route, account and deadline for a path, or returns a refusal.
+    std::optional<DirectRefusal> findRoute(std::string_view path, DirectJob&);
     // Picks one of the route's services at random, by weight.
     void chooseService(DirectJob&);
     Task<> attemptUntilAnswered(const HttpRequest&, Responder&, DirectJob&);
@@ -144,6 +150,8 @@
     Task<std::optional<DirectRefusal>> reservePlace(DirectJob&);
     // Reserves a place if one is free now.
     bool tryReservePlace(DirectJob&);
+    // A place was reserved for the job at the endpoint.
+    void onPlaced(DirectJob&, const std::string& endpoint);
     // Updates the latency statistics when a chunk with whole events has arrived.
     void onEvents(DirectJob&, TimePoint sent);
     // True if the request may be attempted again. Takes a retry from the budget if an attempt has reached
@@ -215,6 +223,8 @@
 
     // Readiness and metrics.
     Task<> serveReadinessOrMetrics(const HttpRequest&, Responder&);
+    // Answers where a request would go now.
+    HttpResponse explainPlacement(const HttpRequest&);
     Task<> tickLoop();
 
     void shutDown();
--- a/directory/catalog.cc
+++ b/directory/catalog.cc
@@ -34,6 +34,14 @@
     return detail::findValue(m_accountsByKey, key);
 }
 
+std::string_view Catalog::findAccountKey(std::string_view name) const
+{
+    for (const auto& [key, account] : m_accountsByKey)
+        if (account.name == name)
+            return key;
+    return {};
+}
+
 size_t Catalog::routeCount() const
 {
     size_t count = 0;
--- a/directory/catalog.h
+++ b/directory/catalog.h
@@ -131,6 +131,8 @@
 
     // Returns the account that the API key belongs to, or null.
     const AccountProfile* findAccount(std::string_view key) const;
+    // Returns an API key of the account of this name, or an empty view.
+    std::string_view findAccountKey(std::string_view name) const;
 
     // True if the configuration has accounts. Callers then need an API key on routes that are not public.
     bool hasAccounts() const { return m_hasAccounts; }
--- a/dispatch/dispatcher.cc
+++ b/dispatch/dispatcher.cc
@@ -59,8 +59,10 @@
             m_notices.removeEndpoint(id);
             m_instancesBefore.erase(id);
         }
-        if (current == snapshot.endpoints.end() || current->second.processStartMs != previous.processStartMs || current->second.host != previous.host || current->second.port != previous.port)
+        if (current == snapshot.endpoints.end() || current->second.processStartMs != previous.processStartMs || current->second.host != previous.host || current->second.port != previous.port) {
             m_health.removeEndpoint(id);
+            onPartsLost(id);
+        }
     }
     m_snapshot = snapshot;
     m_preferences.clear();
@@ -109,7 +111,7 @@
     return m_rateLimiter.allows(endpoint, rate, instanceCount(now), now);
 }
 
-PlaceChoice Dispatcher::choosePlacement(const DispatchRequest& request, TimePoint now, std::vector<const EndpointRecord*>& candidates)
+PlaceChoice Dispatcher::choosePlacement(const DispatchRequest& request, TimePoint now, std::vector<const EndpointRecord*>& candidates, std::vector<PlaceOption>* explained)
 {
     const ServiceProfile* service = m_snapshot.catalog ? m_snapshot.catalog->findService(request.service) : nullptr;
     const bool isEngine = service && service->engine;
@@ -125,6 +127,8 @@
         measured += firstByte > 0;
     }
     const bool isIdempotent = !request.route || request.route->idempotency == Idempotency::Idempotent;
+    const std::vector<PromptPrefix> prefixes = m_rules.useParts ? prefixesOf(request.promptParts) : std::vector<PromptPrefix>();
+    const EngineProfile* weighedEngine = partsEngine(request, prefixes);
     std::vector<PlaceOption> options;
     for (const EndpointRecord* record : candidates) {
         PlaceOption option;
@@ -150,8 +154,12 @@
             option.load = std::max(option.load, option.limit);
         option.avoided = m_health.isAvoided(record->id, isIdempotent, now);
         option.tried = std::find(request.tried.begin(), request.tried.end(), record->id) != request.tried.end();
+        if (weighedEngine)
+            option.saving = savingAt(m_parts, *weighedEngine, *record, option.load, prefixes, request.size, now).requests;
         options.push_back(option);
     }
+    if (explained)
+        *explained = options;
     if (isEngine && m_rules.limitPace && !request.attempts && isStreamLimitReached(request.service, candidates.size(), now))
         return { candidates.empty() ? PlaceFailure::NoneOpen : PlaceFailure::AllFull, 0 };
     return placeRequest(options, m_zone);
@@ -217,6 +225,7 @@
     if (choice.failure != PlaceFailure::None)
         return std::nullopt;
     const EndpointRecord& record = *candidates[choice.index];
+    m_lastPartDecision = partDecision(request, choice, record, now);
     m_loads.onSent(record.id);
     if (isRateLimited(record, now))
         m_rateLimiter.onSent(record.id, now);
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -7,6 +7,8 @@
 #include "admission/rate-limit.h"
 #include "admission/wait-queue.h"
 #include "directory/beliefs.h"
+#include "explain/explanation.h"
+#include "prefix/saving.h"
 #include "routing/health.h"
 #include "routing/load.h"
 #include "routing/placer.h"
@@ -67,6 +69,8 @@
     bool allowWaiting = true;
     // Give slow engines fewer streams, and account for them in the pace limit.
     bool useSlowness = true;
+    // Weigh what endpoints save that hold the beginning of a prompt.
+    bool useParts = true;
 };
 
 // Load balancing and admission control of one instance, for all services. Does no I/O and reads no
@@ -139,6 +143,23 @@
     // for an answer that is not streamed.
     void onAnswered(const std::string& service, Clock::duration inFlightTime, uint32_t events);
 
+    // Sets how long engines keep parts of prompts after the last request that has them. Drops what is known.
+    void setPartRetention(Millis);
+    // The endpoint has sent the first event of the answer, so it has read the prompt.
+    void onPromptRead(const DispatchRequest&, const std::string& endpoint, TimePoint);
+    // A request for which onPromptRead() was called has ended at the endpoint.
+    void onPromptEnded(const DispatchRequest&, const std::string& endpoint, TimePoint);
+    // The endpoint may have lost what it held. All endpoints of its service may have, since a group of engines
+    // forms anew when one of them ends.
+    void onPartsLost(const std::string& endpoint);
+    // What was weighed for the request that was placed last.
+    const PartDecision& lastPartDecision() const { return m_lastPartDecision; }
+    const PartTable& parts() const { return m_parts; }
+
+    // Explains where the request would go now. Runs the decision on a copy, so that it is the same and leaves
+    // no trace.
+    Explanation explain(const DispatchRequest&, TimePoint) const;
+
     // Wakes queued requests, of all services or of one, for as long as there is capacity.
     void wakeWaiting(TimePoint);
     void wakeWaiting(const std::string& service, TimePoint);
@@ -182,7 +203,11 @@
     bool isClosed(const EndpointRecord&) const;
     // Chooses an endpoint without reserving it. Fills `candidates` with all endpoints of the
     // service; the index in the result refers to them.
-    PlaceChoice choosePlacement(const DispatchRequest&, TimePoint, std::vector<const EndpointRecord*>& candidates);
+    PlaceChoice choosePlacement(const DispatchRequest&, TimePoint, std::vector<const EndpointRecord*>& candidates, std::vector<PlaceOption>* explained = nullptr);
+    // The engine of the request's service if the parts of its prompt are weighed, or null.
+    const EngineProfile* partsEngine(const DispatchRequest&, std::span<const PromptPrefix>) const;
+    PartDecision partDecision(const DispatchRequest&, const PlaceChoice&, const EndpointRecord& chosen, TimePoint) const;
+    void explainCandidate(const DispatchRequest&, const EndpointRecord&, const PlaceOption&, TimePoint, ExplainedCandidate&);
     bool hasCapacity(const std::string& service, TimePoint);
     bool isStreamLimitReached(const std::string& service, size_t endpoints, TimePoint);
     // Mean number of requests in flight per endpoint, from all instances.
@@ -219,6 +244,8 @@
     EndpointNotices m_notices;
     std::map<std::string, double, std::less<>> m_slowness;
     TimePoint m_slownessReceived;
+    PartTable m_parts;
+    PartDecision m_lastPartDecision;
 };
 
 } // namespace orioletrail
--- a/model/group.cc
+++ b/model/group.cc
@@ -19,9 +19,19 @@
 {
 }
 
-void EngineGroup::add(uint64_t stream, uint32_t rank, double promptTokens, uint32_t events)
+void EngineGroup::add(uint64_t stream, uint32_t rank, double promptTokens, uint32_t events, uint64_t part, double partTokens)
 {
-    m_streams.emplace(stream, Stream { rank, promptTokens, events });
+    m_streams.emplace(stream, Stream { rank, promptTokens + partTokens, events, part, partTokens });
+}
+
+bool EngineGroup::holdsPart(uint32_t rank, uint64_t part, double nowSeconds) const
+{
+    constexpr double millisPerSecond = 1000;
+    for (const auto& [number, stream] : m_streams)
+        if (stream.rank == rank && stream.part == part && stream.hasBegun && stream.promptTokensLeft <= 0)
+            return true;
+    const auto used = m_partsUsed.find({ rank, part });
+    return used != m_partsUsed.end() && (nowSeconds - used->second) * millisPerSecond < m_model.keepPartsMs;
 }
 
 void EngineGroup::remove(uint64_t stream)
@@ -56,12 +66,18 @@
         if (!stream.isRunning)
             continue;
         ++rank.running;
+        if (!stream.hasBegun && stream.partTokens > 0 && holdsPart(stream.rank, stream.part, nowSeconds))
+            stream.promptTokensLeft -= stream.partTokens;
+        stream.hasBegun = true;
         const double prefilled = std::min(stream.promptTokensLeft, rank.prefillBudget);
         stream.promptTokensLeft -= prefilled;
         rank.prefillBudget -= prefilled;
         rank.prefillTokens += prefilled;
+        m_tokensRead += prefilled;
         stream.emitsEvent = stream.promptTokensLeft <= 0;
         rank.decodingStreams += stream.emitsEvent;
+        if (stream.emitsEvent && stream.partTokens > 0 && m_model.keepPartsMs > 0)
+            m_partsUsed[{ stream.rank, stream.part }] = nowSeconds;
     }
     // Time for the experts' share of all token work. It is spread over the ranks according to the
     // expert map, whichever rank a stream belongs to.
--- a/model/scenario.cc
+++ b/model/scenario.cc
@@ -103,11 +103,11 @@
     CallerModel& callers = scenario.callers;
     const Setters engineSetters { { "ranks", numberSetter(engine.ranks) }, { "slots", numberSetter(engine.slots) }, { "stride", numberSetter(engine.stride) },
         { "stepMs", numberSetter(engine.stepMs) }, { "perSequenceMs", numberSetter(engine.perSequenceMs) }, { "expertShare", numberSetter(engine.expertShare) },
-        { "promptTokensPerMs", numberSetter(engine.promptTokensPerMs) }, { "chunk", numberSetter(engine.chunk) }, { "reportLagMs", numberSetter(engine.reportLagMs) },
+        { "promptTokensPerMs", numberSetter(engine.promptTokensPerMs) }, { "chunk", numberSetter(engine.chunk) }, { "reportLagMs", numberSetter(engine.reportLagMs) }, { "keepPartsMs", numberSetter(engine.keepPartsMs) },
         { "unevenness", scheduleSetter(engine.unevenness) }, { "slow", slowPeriodsSetter(engine.slow) } };
     const Setters callerSetters { { "perSecond", scheduleSetter(callers.perSecond) }, { "events", numberSetter(callers.events) }, { "eventsSpread", numberSetter(callers.eventsSpread) },
         { "mostEvents", numberSetter(callers.mostEvents) }, { "promptTokens", numberSetter(callers.promptTokens) }, { "promptSpread", numberSetter(callers.promptSpread) },
-        { "mostPromptTokens", numberSetter(callers.mostPromptTokens) }, { "objectiveMs", numberSetter(callers.objectiveMs) }, { "gapObjectiveMs", numberSetter(callers.gapObjectiveMs) },
+        { "mostPromptTokens", numberSetter(callers.mostPromptTokens) }, { "sharedTokens", numberSetter(callers.sharedTokens) }, { "sharedParts", numberSetter(callers.sharedParts) }, { "objectiveMs", numberSetter(callers.objectiveMs) }, { "gapObjectiveMs", numberSetter(callers.gapObjectiveMs) },
         { "timeoutMs", numberSetter(callers.timeoutMs) }, { "patienceMs", numberSetter(callers.patienceMs) }, { "returns", numberSetter(callers.returns) } };
     const Setters setters { { "name", textSetter(scenario.name) }, { "about", textSetter(scenario.about) }, { "seconds", numberSetter(scenario.seconds) },
         { "entries", numberSetter(scenario.entries) }, { "statusIntervalMs", numberSetter(scenario.statusIntervalMs) },
@@ -118,8 +118,8 @@
         reason = reason.empty() ? memberReason : reason;
         return std::nullopt;
     }
-    if (!engine.ranks || !engine.slots || !engine.stride || !scenario.entries || engine.promptTokensPerMs <= 0 || engine.chunk <= 0) {
-        reason = "a scenario needs positive ranks, slots, stride, entries, promptTokensPerMs and chunk";
+    if (!engine.ranks || !engine.slots || !engine.stride || !scenario.entries || !callers.sharedParts || engine.promptTokensPerMs <= 0 || engine.chunk <= 0) {
+        reason = "a scenario needs positive ranks, slots, stride, entries, sharedParts, promptTokensPerMs and chunk";
         return std::nullopt;
     }
     for (const SlowPeriod& period : engine.slow)
--- a/model/scenario.h
+++ b/model/scenario.h
@@ -39,6 +39,8 @@
     double chunk = 512;
     // Age of the engines' reports when they reach an entry.
     double reportLagMs = 200;
+    // How long a rank keeps a shared part of prompts after the last stream that has it.
+    double keepPartsMs = 0;
     // Expert load of the most loaded rank relative to the mean.
     std::vector<ScheduledValue> unevenness { { 0, 1.3 } };
     // Periods in which single ranks are slow.
@@ -57,6 +59,10 @@
     double promptTokens = 674;
     double promptSpread = 0.75;
     double mostPromptTokens = 2340;
+    // Tokens of the part that begins each prompt, in addition to promptTokens, and number of different parts;
+    // a quarter of the prompts have the first one, and the others are equally frequent.
+    double sharedTokens = 0;
+    uint32_t sharedParts = 1;
     // Longest time to first event that is in time.
     double objectiveMs = 500;
     // Longest gap between events that is in time.
--- a/model/simulation.cc
+++ b/model/simulation.cc
@@ -33,6 +33,7 @@
             for (uint32_t entry = 0; entry < scenario.entries; ++entry) {
                 m_entries.push_back(std::make_unique<Dispatcher>("zone", policy.rules));
                 m_entries.back()->setSnapshot(snapshot);
+                m_entries.back()->setPartRetention(toMillis(scenario.engine.keepPartsMs));
             }
             m_result.series.resize(static_cast<size_t>(std::ceil(scenario.seconds / windowSeconds)));
         }
@@ -46,6 +47,8 @@
                 m_now = next.key().first;
                 next.mapped()();
             }
+            m_result.tokensRead = m_group.tokensRead();
+            m_result.peakLoad = m_peakLoads ? m_peakLoadSum / static_cast<double>(m_peakLoads) : 0;
             std::sort(m_result.firstEventMs.begin(), m_result.firstEventMs.end());
             return std::move(m_result);
         }
@@ -120,6 +123,8 @@
             profile.stepMs = engine.stepMs;
             profile.perSequenceMs = engine.perSequenceMs;
             profile.expertShare = engine.expertShare;
+            profile.promptTokensPerMs = engine.promptTokensPerMs;
+            profile.promptChunk = static_cast<uint32_t>(engine.chunk);
             service.engine = profile;
             CatalogBuilder builder;
             builder.version(1).route(route).service(service);
@@ -138,6 +143,7 @@
 
         void exchangeStatus()
         {
+            observePeakLoad();
             std::map<std::string, double, std::less<>> slowness;
             const double reportTime = seconds() - m_scenario.engine.reportLagMs / 1000;
             for (uint32_t rank = 0; rank < m_scenario.engine.ranks; ++rank)
@@ -154,6 +160,24 @@
                 schedule(toDuration(m_scenario.statusIntervalMs), [this] { exchangeStatus(); });
         }
 
+        void observePeakLoad()
+        {
+            std::map<std::string, double, std::less<>> loads;
+            double total = 0;
+            for (const auto& entry : m_entries)
+                for (const auto& [endpoint, count] : entry->loads().ownCounts()) {
+                    loads[endpoint] += count;
+                    total += count;
+                }
+            if (total <= 0)
+                return;
+            double peak = 0;
+            for (const auto& [endpoint, load] : loads)
+                peak = std::max(peak, load);
+            m_peakLoadSum += peak * m_scenario.engine.ranks / total;
+            ++m_peakLoads;
+        }
+
         void scheduleArrival()
         {
             const double rate = valueAt(m_scenario.callers.perSecond, seconds());
@@ -173,6 +197,13 @@
             caller.started = m_now;
             caller.promptTokens = logNormal(m_scenario.callers.promptTokens, m_scenario.callers.promptSpread, m_scenario.callers.mostPromptTokens);
             caller.events = static_cast<uint32_t>(std::lround(logNormal(m_scenario.callers.events, m_scenario.callers.eventsSpread, m_scenario.callers.mostEvents)));
+            if (m_scenario.callers.sharedTokens > 0) {
+                constexpr double firstPartShare = 0.25;
+                const uint32_t parts = m_scenario.callers.sharedParts;
+                const bool isFirst = parts == 1 || std::uniform_real_distribution<double>(0, 1)(m_random) < firstPartShare;
+                const uint32_t part = isFirst ? 0 : std::uniform_int_distribution<uint32_t>(1, parts - 1)(m_random);
+                caller.request.promptParts = { { part + uint64_t { 1 }, static_cast<uint32_t>(m_scenario.callers.sharedTokens) } };
+            }
             caller.request.service = "model";
             caller.request.route = m_route;
             sendRequest(callerId);
@@ -244,6 +275,9 @@
         {
             Caller& caller = m_callers.at(callerId);
             caller.endpoint = endpoint;
+            const PartDecision& parts = m_entries[caller.entry]->lastPartDecision();
+            m_result.tokensSaved += parts.savedTokens;
+            m_result.moved += parts.wasMoved;
             caller.sent = m_now;
             caller.lastEvent = m_now;
             const uint64_t generation = caller.generation;
@@ -253,7 +287,8 @@
                     return;
                 const Caller& sent = found->second;
                 const auto rank = static_cast<uint32_t>(std::stoul(sent.endpoint.substr(sent.endpoint.find('-') + 1)) - 1000);
-                m_group.add(callerId, rank, sent.promptTokens, sent.events);
+                const std::vector<PromptPart>& parts = sent.request.promptParts;
+                m_group.add(callerId, rank, sent.promptTokens, sent.events, parts.empty() ? 0 : parts[0].hash, m_scenario.callers.sharedTokens);
                 startPass();
             });
             schedule(caller.started + toMillis(m_scenario.callers.timeoutMs) - m_now, [this, callerId, generation] { abandonIfUnchanged(callerId, generation, std::nullopt); });
@@ -295,6 +330,8 @@
             Caller& caller = m_callers.at(callerId);
             Dispatcher& entry = *m_entries[caller.entry];
             if (!caller.received) {
+                for (Dispatcher* knowing : entriesThatLearn(caller))
+                    knowing->onPromptRead(caller.request, caller.endpoint, m_now);
                 entry.onFirstEvent("model", m_now - caller.sent);
                 const double firstEventDelayMs = std::chrono::duration<double, std::milli>(m_now - caller.started).count();
                 m_result.firstEventMs.push_back(firstEventDelayMs);
@@ -318,10 +355,23 @@
             finishCaller(callerId, isLate ? &OutcomeCounts::late : &OutcomeCounts::inTime);
         }
 
+        // The entries that learn which parts the caller's endpoint holds.
+        std::vector<Dispatcher*> entriesThatLearn(const Caller& caller) const
+        {
+            std::vector<Dispatcher*> entries;
+            for (size_t entry = 0; entry < m_entries.size(); ++entry)
+                if (entry == caller.entry || m_policy.sharesParts)
+                    entries.push_back(m_entries[entry].get());
+            return entries;
+        }
+
         void releaseEndpoint(const Caller& caller)
         {
             Dispatcher& entry = *m_entries[caller.entry];
             entry.onEnded("model", caller.endpoint, m_now);
+            for (Dispatcher* knowing : entriesThatLearn(caller))
+                if (caller.received)
+                    knowing->onPromptEnded(caller.request, caller.endpoint, m_now);
             entry.wakeWaiting("model", m_now);
         }
 
@@ -356,6 +406,8 @@
         const Route* m_route = nullptr;
         std::vector<std::unique_ptr<Dispatcher>> m_entries;
         std::map<uint64_t, Caller> m_callers;
+        double m_peakLoadSum = 0;
+        uint64_t m_peakLoads = 0;
         SimulationResult m_result;
     };
 
@@ -389,7 +441,13 @@
     Policy withoutPeerCounts = product;
     withoutPeerCounts.name = "without peers' counts";
     withoutPeerCounts.sharesCounts = false;
-    return { product, withoutPaceLimit, withoutWaiting, withoutSlowness, withoutPeerCounts };
+    Policy withoutParts = product;
+    withoutParts.name = "without prompt parts";
+    withoutParts.rules.useParts = false;
+    Policy withSharedParts = product;
+    withSharedParts.name = "parts known to all";
+    withSharedParts.sharesParts = true;
+    return { product, withoutPaceLimit, withoutWaiting, withoutSlowness, withoutPeerCounts, withoutParts, withSharedParts };
 }
 
 SimulationResult simulate(const Scenario& scenario, const Policy& policy, uint64_t seed)
--- a/model/simulation.h
+++ b/model/simulation.h
@@ -12,6 +12,9 @@
     DispatchRules rules {};
     // Entries exchange the numbers of their requests in flight.
     bool sharesCounts = true;
+    // Each entry knows at once which endpoint read the parts of another entry's request: more than messages
+    // could achieve.
+    bool sharesParts = false;
 };
 
 // The full policy, and one variant for each part of it that is disabled.
@@ -44,6 +47,13 @@
     std::vector<double> firstEventMs;
     // Outcomes of callers with prompts longer than the mean.
     OutcomeCounts longPrompts;
+    // Prompt tokens that engines have read, and those that entries predicted they need not read.
+    double tokensRead = 0;
+    double tokensSaved = 0;
+    // Requests that went to another endpoint than without the knowledge of parts.
+    uint64_t moved = 0;
+    // Streams of the most loaded rank relative to the mean, averaged over the status intervals.
+    double peakLoad = 0;
 
     // Quantile of the time to first event in milliseconds, for a share of 0 to 1.
     double firstEventQuantile(double share) const;
--- a/routing/load.cc
+++ b/routing/load.cc
@@ -58,6 +58,15 @@
         [&](const auto& peer) { return now - peer.second.received <= detail::peerCountsMaxAge; }));
 }
 
+Millis LoadTable::countsAge(TimePoint now) const
+{
+    Millis oldest { 0 };
+    for (const auto& [name, peer] : m_peers)
+        if (const auto age = std::chrono::duration_cast<Millis>(now - peer.received); age <= detail::peerCountsMaxAge)
+            oldest = std::max(oldest, age);
+    return oldest;
+}
+
 double LoadTable::estimate(std::string_view endpoint, TimePoint now) const
 {
     double total = ownCount(endpoint);
--- a/routing/load.h
+++ b/routing/load.h
@@ -34,6 +34,9 @@
     // Number of other instances that sent counts recently.
     size_t livePeerCount(TimePoint) const;
 
+    // Age of the oldest counts of another instance that are in use, 0 if there are none.
+    Millis countsAge(TimePoint) const;
+
     // Drops the report of an endpoint that is gone.
     void removeEndpoint(std::string_view endpoint);
 
