Send nothing to a group of engines whose rank has ended or that rejects requests with room

Entries tell the dispatcher what attempts show, and each other in status messages, field outages. Which endpoints form a group is not known yet, so nothing changes until the table of groups is there.

--- a/direct/attempt.cc
+++ b/direct/attempt.cc
@@ -120,8 +120,10 @@
         const std::string events = job.events.push(bytes);
         if (events.empty() || !isCallerConnected)
             co_return job.events.remainder().size() <= detail::maxEventBytes;
-        if (!chunks)
+        if (!chunks) {
             dispatcher->onPromptRead(job, target->record.id, Clock::now());
+            onServing(*target, sent);
+        }
         if (++chunks == detail::answeringChunks)
             crashParts.onAnswering(job.caller.promptParts, sent, Clock::now());
         onEvents(job, sent);
@@ -197,6 +199,7 @@
     }
     if (callResult.isRefused || hasCrashed)
         onEndpointEnded(target->record.id);
+    updateOutages(*target, result, head, callResult.isRefused || hasCrashed, sent);
     result.endpointEnded = hasCrashed;
     result.isAnswering = chunks >= detail::answeringChunks;
     updateCrashParts(request, job, *target, result);
--- a/direct/peer-messages.cc
+++ b/direct/peer-messages.cc
@@ -160,6 +160,7 @@
     status.closedZones = snapshot.closedZones;
     status.limits = dispatcher->namedLimits(Clock::now());
     status.sent = dispatcher->sentAges(Clock::now());
+    status.outages = dispatcher->outageReports(Clock::now());
     status.poison = poison.report(Clock::now());
     status.crashes = crashParts.report(Clock::now());
     status.zone = platform.zone;
@@ -189,6 +190,7 @@
         metrics.count("orioletrail_endpoint_limits_total", "event=\"reported\"");
         log(LogLevel::Info, "limits of endpoints changed by report", { { "peer", status.sender.instance }, { "limits", std::to_string(status.limits.size()) } });
     }
+    dispatcher->onPeerOutages(status.sender.instance, status.outages, Clock::now());
     for (const PoisonEvidence& evidence : status.poison) {
         if (!poison.merge(evidence, Clock::now()))
             continue;
--- a/direct/peers-test.cc
+++ b/direct/peers-test.cc
@@ -42,10 +42,12 @@
     status.offer = LeadershipOffer { { "entry-2", 5 }, { 65'600, 131'072 } };
     status.slowness = { { "e-1", 4.5 } };
     status.crashes.crashes = { { 7, { { 17'000'000'000'000'000'001U, { 8, 9 } } }, { 9 }, Millis(40) } };
+    status.outages = { { "group-1", { Millis(20), std::nullopt } } };
     status.crashes.refused = { { 8, Millis(500) } };
     const auto read = decodePeerStatus(encodePeerStatus(status));
     REQUIRE(read);
     CHECK(read->sender == status.sender);
+    CHECK(read->outages == status.outages);
     CHECK(read->address == status.address);
     CHECK(read->inFlight == status.inFlight);
     REQUIRE(read->poison.size() == 1);
--- a/direct/peers.cc
+++ b/direct/peers.cc
@@ -212,6 +212,7 @@
         object["sent"] = detail::writeSent(status.sent);
     writePoisonEvidence(status.poison, object);
     writeCrashReport(status.crashes, object);
+    writeOutages(status.outages, object);
     if (status.leading) {
         object["leading"] = true;
         if (status.changingMap)
@@ -267,6 +268,7 @@
     status.sent = detail::readSent(*object);
     status.poison = readPoisonEvidence(*object);
     status.crashes = readCrashReport(*object);
+    status.outages = readOutages(*object);
     return status;
 }
 
--- a/direct/peers.h
+++ b/direct/peers.h
@@ -7,6 +7,7 @@
 #include "direct/handover.h"
 #include "direct/store-progress.h"
 #include "gateway/http.h"
+#include "outage/messages.h"
 #include "retry/crash-parts.h"
 #include "retry/poison.h"
 #include "routing/load.h"
@@ -35,6 +36,8 @@
     NamedLimits limits;
     SentAges sent;
     std::string zone;
+    // Outages of groups of engines that the sender has seen.
+    OutageReports outages;
     // How far the sender has followed the store.
     StoreProgress progress;
     // Processor time per second that the sender may use, in cores.
--- a/direct/state.h
+++ b/direct/state.h
@@ -170,6 +170,9 @@
     bool mayTryAnother(const DirectJob&);
     // The endpoint's process has ended: counts a death for each request that was lost with it.
     void onEndpointEnded(const std::string& endpoint);
+    // Notes that the endpoint's group of engines runs no requests, if the attempt shows that, or that it runs them again.
+    void updateOutages(const Target&, const DirectAttemptResult&, const EndpointHead&, bool hasEnded, TimePoint sent);
+    void onServing(const Target&, TimePoint sent);
     // Updates what is known of the parts of the request's prompt after an attempt.
     void updateCrashParts(const HttpRequest&, DirectJob&, const Target&, const DirectAttemptResult&);
     void onPartRefused(PartHash, std::optional<double> chance, size_t crashes);
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -8,6 +8,7 @@
 #include "admission/wait-queue.h"
 #include "directory/beliefs.h"
 #include "explain/explanation.h"
+#include "outage/outages.h"
 #include "prefix/saving.h"
 #include "routing/health.h"
 #include "routing/load.h"
@@ -82,6 +83,7 @@
         : m_zone(std::move(zone))
         , m_instance(std::move(instance))
         , m_rules(rules)
+        , m_outages(m_instance)
     {
     }
 
@@ -125,6 +127,15 @@
     bool onLeaving(const std::string& endpoint);
     // An endpoint's answer asks for no further requests of this instance for a time.
     void onPause(const std::string& endpoint, Millis, TimePoint);
+    // The endpoint's process has ended, an endpoint rejected a request although it had room, or it has begun to answer.
+    // `sent` is when the request was sent that showed it. If the endpoint is a rank of a known group and the group is
+    // now known to run no requests, or to run them again, that is returned: others of the service are chosen meanwhile.
+    bool onRankEnded(const std::string& endpoint, TimePoint sent, TimePoint now);
+    bool onRejectedWithRoom(const std::string& endpoint, TimePoint sent, TimePoint now);
+    bool onGroupServed(const std::string& endpoint, TimePoint sent, TimePoint now);
+    OutageReports outageReports(TimePoint now) const { return m_outages.report(now); }
+    void onPeerOutages(std::string_view peer, const OutageReports& reports, TimePoint now) { m_outages.onPeerReport(peer, reports, now); }
+    size_t outageCount(TimePoint now) const { return m_outages.count(now); }
     // Merges the limits that another instance knows and the requests that it sent to limited and cold
     // endpoints. Returns whether a limit has changed.
     bool onPeerRates(std::string_view peer, const NamedLimits&, const SentAges&, TimePoint);
@@ -197,6 +208,8 @@
         double meanEvents = 0;
     };
 
+    // Name of the group that the endpoint is a rank of; empty if that is unknown, or if its service has no other group.
+    std::string outageGroupOf(const std::string& endpoint, TimePoint) const;
     // The shortest pause of an endpoint that would take the request otherwise, 0 if one is not paused or there is none.
     Millis shortestPause(const DispatchRequest&, TimePoint) const;
     // True if the endpoint is leaving or in a closed zone.
@@ -242,6 +255,7 @@
     RateLimiter m_rateLimiter;
     EndpointLimits m_limits;
     EndpointNotices m_notices;
+    Outages m_outages;
     std::map<std::string, double, std::less<>> m_slowness;
     TimePoint m_slownessReceived;
     PartTable m_parts;
