Ignore reports of deaths that were cleared, so that they come to an end

Callers of the test "pair: a service is killed while the platform is down" saw 503 no-capacity after 5 s, or no answer, in 1 of 4 runs; sidecars counted all credits as held and links had few of them. The log lines at both ends show that no credit is lost: grants and opened attempts wait in the send queues behind reports of the deaths of one request, which entries and sidecars sent each other without end (61 MB of log lines in one run).

Times in reports are ages, so they are later at each instance that passes them on. An instance that had cleared a death added it again by a late report, told all others, was told that it is cleared, and told that too. The same held for deaths beyond the maximum of a record.

Deaths that were cleared or dropped are now remembered by their process, which ends only once, and not added again.

--- a/retry/poison-test.cc
+++ b/retry/poison-test.cc
@@ -1,6 +1,7 @@
 #include "retry/poison.h"
 
 #include <doctest/doctest.h>
+#include <random>
 
 using namespace orioletrail;
 
@@ -138,3 +139,46 @@
     CHECK(records.report(start + Millis(310)).size() == 3);
     CHECK(records.report(start + Millis(310)).front().digest == "99");
 }
+
+TEST_CASE("reports that each instance passes on with a delay come to an end")
+{
+    struct Delivery {
+        size_t to = 0;
+        PoisonEvidence evidence;
+    };
+    constexpr size_t instanceCount = 9;
+    constexpr size_t deathCount = 12;
+    for (uint64_t seed = 1; seed <= 200; ++seed) {
+        CAPTURE(seed);
+        std::mt19937_64 random(seed);
+        std::vector<PoisonRecords> instances(instanceCount);
+        std::multimap<TimePoint, Delivery> network;
+        const auto tellOthers = [&](size_t from, TimePoint now) {
+            for (size_t to = 0; to < instanceCount; ++to)
+                if (to != from)
+                    network.emplace(now + Millis(1 + static_cast<int>(random() % 40)), Delivery { to, instances[from].evidence("d", now) });
+        };
+        size_t delivered = 0;
+        // Each instance may pass on that a death is new, and that it is cleared, once.
+        constexpr size_t maxDelivered = 3 * deathCount * instanceCount * instanceCount;
+        int event = 0;
+        while ((event < static_cast<int>(deathCount) * 2 || !network.empty()) && delivered <= maxDelivered) {
+            const TimePoint next = start + Millis(event * 15);
+            if (event < static_cast<int>(deathCount) * 2 && (network.empty() || next <= network.begin()->first)) {
+                const size_t instance = random() % instanceCount;
+                if (event % 2 == 0)
+                    instances[instance].onDeath("d", { static_cast<uint64_t>(event), next - Millis(10), next }, next);
+                if (event % 2 == 0 || instances[instance].onCompleted("d", next))
+                    tellOthers(instance, next);
+                ++event;
+                continue;
+            }
+            const auto [now, delivery] = *network.begin();
+            network.erase(network.begin());
+            ++delivered;
+            if (instances[delivery.to].merge(delivery.evidence, now))
+                tellOthers(delivery.to, now);
+        }
+        CHECK(delivered <= maxDelivered);
+    }
+}
--- a/retry/poison.cc
+++ b/retry/poison.cc
@@ -11,6 +11,9 @@
     // seem to overlap it by this much.
     constexpr Millis overlapTolerance { 10 };
 
+    // Settled deaths that are kept for each death that may be kept.
+    constexpr size_t settledPerDeath = 8;
+
     Millis ageOf(TimePoint time, TimePoint now)
     {
         return std::max(Millis(0), std::chrono::duration_cast<Millis>(now - time));
@@ -45,27 +48,38 @@
 
 bool PoisonRecords::addDeath(Record& record, const RequestDeath& death, TimePoint now)
 {
-    const bool isKnown = std::any_of(record.deaths.begin(), record.deaths.end(), [&](const RequestDeath& other) { return other.process == death.process; });
+    const bool isKnown = std::any_of(record.deaths.begin(), record.deaths.end(), [&](const RequestDeath& other) { return other.process == death.process; })
+        || std::find(record.settled.begin(), record.settled.end(), death.process) != record.settled.end();
     if (isKnown || (record.clearedAt && death.lostAt <= *record.clearedAt) || now - death.lostAt > m_settings.retention)
         return false;
     const auto position = std::upper_bound(record.deaths.begin(), record.deaths.end(), death, [](const RequestDeath& a, const RequestDeath& b) { return a.lostAt < b.lostAt; });
     record.deaths.insert(position, death);
     if (record.deaths.size() > m_settings.maxDeaths)
-        record.deaths.erase(record.deaths.begin());
+        settle(record, record.deaths.begin() + 1);
     record.changedAt = now;
     return true;
 }
 
 bool PoisonRecords::clear(Record& record, TimePoint clearedAt, TimePoint now)
 {
-    const size_t cleared = std::erase_if(record.deaths, [&](const RequestDeath& death) { return death.lostAt <= clearedAt; });
-    if (!cleared)
+    const auto end = std::upper_bound(record.deaths.begin(), record.deaths.end(), clearedAt, [](TimePoint time, const RequestDeath& death) { return time < death.lostAt; });
+    if (end == record.deaths.begin())
         return false;
+    settle(record, end);
     record.clearedAt = std::max(record.clearedAt.value_or(clearedAt), clearedAt);
     record.changedAt = now;
     return true;
 }
 
+void PoisonRecords::settle(Record& record, std::vector<RequestDeath>::iterator end)
+{
+    for (auto death = record.deaths.begin(); death != end; ++death)
+        record.settled.push_back(death->process);
+    record.deaths.erase(record.deaths.begin(), end);
+    while (record.settled.size() > detail::settledPerDeath * m_settings.maxDeaths)
+        record.settled.pop_front();
+}
+
 uint32_t PoisonRecords::countDeaths(const Record& record)
 {
     uint32_t count = 0;
@@ -171,7 +185,7 @@
     const auto found = m_records.find(digest);
     if (found != m_records.end()) {
         if (isExpired(found->second, now))
-            found->second = { {}, std::nullopt, now };
+            found->second = { {}, std::nullopt, now, {} };
         return found->second;
     }
     if (m_records.size() >= m_settings.maxRecords)
--- a/retry/poison.h
+++ b/retry/poison.h
@@ -3,6 +3,7 @@
 
 #include "base/types.h"
 
+#include <deque>
 #include <map>
 
 namespace orioletrail {
@@ -105,11 +106,17 @@
         std::vector<RequestDeath> deaths;
         std::optional<TimePoint> clearedAt;
         TimePoint changedAt;
+        // Processes whose deaths were cleared or dropped, the oldest first. Reports of them are ignored: their
+        // times are later at each instance that passes them on, so that instances would add and clear the
+        // same death without end, and tell each other each time.
+        std::deque<uint64_t> settled;
     };
 
     Record& recordOf(std::string_view digest, TimePoint now);
     bool addDeath(Record&, const RequestDeath&, TimePoint now);
     bool clear(Record&, TimePoint clearedAt, TimePoint now);
+    // Drops the deaths before `end`.
+    void settle(Record&, std::vector<RequestDeath>::iterator end);
     PoisonVerdict verdict(const Record&, TimePoint now) const;
     static uint32_t countDeaths(const Record&);
     bool isExpired(const Record&, TimePoint now) const;
