Count one answer for each recall of credits, and log credits at both ends

An entry that opens an attempt while a recall is under way returns fewer credits than were recalled. The pool kept the rest as "recalled and not returned", so it never recalled that many again, although the connection got new ones: an entry could wait for a credit while another held it unused.

The pool now keeps the sizes of recalls without an answer; each ReturnCredits answers the oldest. Links have always sent one for each recall. The entry's end is a class of its own, LinkCredits. Both ends log each credit that is granted, used, recalled, returned or lost with a link, as debug lines.

--- a/admission/credits.cc
+++ b/admission/credits.cc
@@ -32,8 +32,11 @@
     Holder& holder = found->second;
     const uint32_t returned = std::min(credits, holder.held);
     holder.held -= returned;
-    holder.recalled -= std::min(holder.recalled, returned);
     m_held -= returned;
+    if (holder.recalls.empty())
+        return;
+    holder.recalled -= holder.recalls.front();
+    holder.recalls.pop_front();
 }
 
 Reason CreditPool::tryOpen(uint64_t connection)
@@ -54,6 +57,12 @@
     --m_inFlight;
 }
 
+uint32_t CreditPool::held(uint64_t connection) const
+{
+    const auto found = m_holders.find(connection);
+    return found == m_holders.end() ? 0 : found->second.held;
+}
+
 uint32_t CreditPool::freeCredits() const
 {
     const uint32_t used = m_held + m_inFlight;
@@ -118,8 +127,11 @@
         const uint32_t kept = holder.demand + holder.recalled;
         const uint32_t idle = holder.held > kept ? holder.held - kept : 0;
         const uint32_t recalled = std::min(idle, shortfall);
+        if (!recalled)
+            continue;
         shortfall -= recalled;
         holder.recalled += recalled;
+        holder.recalls.push_back(recalled);
         changes[connection] -= static_cast<int32_t>(recalled);
     }
 }
--- a/admission/credits.h
+++ b/admission/credits.h
@@ -4,6 +4,7 @@
 
 #include "base/types.h"
 
+#include <deque>
 #include <map>
 #include <vector>
 
@@ -32,7 +33,8 @@
     // The demand of a connection is the number of its attempts in flight and waiting.
     void setDemand(uint64_t connection, uint32_t credits);
 
-    // Takes back credits that the connection returned unused, at most as many as it holds.
+    // Takes back credits that the connection returned unused, at most as many as it holds. Each call
+    // answers the oldest recall that has had no answer, even if fewer credits come back than were recalled.
     void returnCredits(uint64_t connection, uint32_t credits);
 
     // Spends one credit of the connection to start an attempt. Returns None if it may run, NoCredit
@@ -51,12 +53,15 @@
     uint32_t limit() const { return m_limit; }
     // Credits held by all connections.
     uint32_t held() const { return m_held; }
+    // Credits held by one connection.
+    uint32_t held(uint64_t connection) const;
 
 private:
     struct Holder {
         uint32_t held = 0;
         uint32_t demand = 0;
-        // Credits that were recalled and not returned yet.
+        // Sizes of the recalls without an answer, in the order of sending, and their sum.
+        std::deque<uint32_t> recalls;
         uint32_t recalled = 0;
     };
 
--- a/entry/link.cc
+++ b/entry/link.cc
@@ -128,7 +128,7 @@
     m_hooks.incrementCounter("orioletrail_link_losses_total");
     m_connection = nullptr;
     m_handshakeDone = false;
-    m_credits = 0;
+    logCredits("credits lost with the link", m_credits.onDisconnected());
     if (!m_disconnectedAt)
         m_disconnectedAt = Clock::now();
     m_hooks.onAvailabilityChanged();
@@ -139,7 +139,7 @@
     if (auto* frame = std::get_if<Frame>(&message))
         onFrame(std::move(*frame));
     else if (auto* grant = std::get_if<GrantCredits>(&message))
-        m_credits += grant->credits, m_hooks.onAvailabilityChanged();
+        onGrant(*grant);
     else if (auto* ping = std::get_if<Ping>(&message))
         onPing(*ping);
     else if (auto* welcome = std::get_if<Welcome>(&message))
@@ -148,11 +148,29 @@
         m_hooks.onConfigDelta(std::move(*delta));
     else if (auto* report = std::get_if<PoisonReport>(&message))
         m_hooks.onPoisonReport(*report);
-    else if (auto* recall = std::get_if<RecallCredits>(&message)) {
-        const uint32_t returned = std::min(recall->credits, m_credits);
-        m_credits -= returned;
-        send(ReturnCredits { returned });
-    }
+    else if (auto* recall = std::get_if<RecallCredits>(&message))
+        onRecall(*recall);
+}
+
+void SidecarLink::onGrant(const GrantCredits& grant)
+{
+    m_credits.onGranted(grant.credits);
+    logCredits("credits granted", grant.credits);
+    m_hooks.onAvailabilityChanged();
+}
+
+void SidecarLink::onRecall(const RecallCredits& recall)
+{
+    const uint32_t returned = m_credits.onRecalled(recall.credits);
+    logCredits("credits recalled", recall.credits);
+    logCredits("credits returned", returned);
+    send(ReturnCredits { returned });
+}
+
+void SidecarLink::logCredits(std::string_view event, uint32_t credits) const
+{
+    if (isLogged(LogLevel::Debug))
+        log(LogLevel::Debug, event, { { "endpoint", m_endpoint }, { "entry", std::to_string(m_identity.incarnation) }, { "connection", std::to_string(m_connectionNumber) }, { "credits", std::to_string(credits) }, { "left", std::to_string(m_credits.available()) } });
 }
 
 void SidecarLink::onWelcome(const Welcome& welcome)
@@ -203,7 +221,8 @@
 
 std::shared_ptr<AttemptStream> SidecarLink::openAttempt(OpenAttempt&& request)
 {
-    --m_credits;
+    m_credits.onUsed();
+    logCredits("credit used", 1);
     auto stream = std::make_shared<AttemptStream>(m_executor, request.idempotent);
     m_streams.emplace(request.id, stream);
     send(std::move(request));
--- a/entry/link.h
+++ b/entry/link.h
@@ -1,6 +1,7 @@
 // The entry's end of the connection to one sidecar.
 #pragma once
 
+#include "admission/link-credits.h"
 #include "gateway/http.h"
 #include "transport/connection.h"
 #include "transport/heartbeat.h"
@@ -89,7 +90,7 @@
     // True once the sidecar has answered the handshake on the current connection.
     bool isConnected() const { return m_handshakeDone; }
     // Number of attempts that may be opened now.
-    uint32_t credits() const { return m_credits; }
+    uint32_t credits() const { return m_credits.available(); }
     uint32_t inFlight() const { return static_cast<uint32_t>(m_streams.size()); }
 
     // Sends an attempt and spends a credit. Requires isOpen() and credits() > 0.
@@ -128,6 +129,10 @@
     void onPing(const Ping&);
     void onFrame(Frame&&);
     void failAll(Reason);
+    void onGrant(const GrantCredits&);
+    void onRecall(const RecallCredits&);
+    // Writes a log line on a change of the credits, with the number that is left.
+    void logCredits(std::string_view event, uint32_t credits) const;
     // Fails attempts whose sidecar has been disconnected for too long.
     void failUnresolved(Millis disconnectedFor);
     void sendPing(TimePoint);
@@ -147,7 +152,7 @@
     uint64_t m_connectionNumber = 0;
     // Incarnation of the sidecar process, 0 until the first handshake.
     uint64_t m_peerIncarnation = 0;
-    uint32_t m_credits = 0;
+    LinkCredits m_credits;
     uint32_t m_creditDemand = 0;
     bool m_handshakeDone = false;
     bool m_connecting = false;
--- a/sidecar/attempt-runner.cc
+++ b/sidecar/attempt-runner.cc
@@ -50,6 +50,7 @@
 {
     const TimePoint now = Clock::now();
     const Reason credit = pool.tryOpen(peer.number);
+    logCredits(peer, credit == Reason::None ? "credit used" : "credit refused", 1);
     if (!attempts.open(open.id, peer.entryConnection)) {
         if (credit == Reason::None)
             pool.finish();
--- a/sidecar/peer-messages.cc
+++ b/sidecar/peer-messages.cc
@@ -38,6 +38,7 @@
     const auto current = peerOfEntry.find(found->second.entry);
     if (current != peerOfEntry.end() && current->second == number)
         peerOfEntry.erase(current);
+    logCredits(found->second, "credits lost with the link", pool.held(number));
     peers.erase(found);
     pool.disconnect(number);
     updateCredits();
@@ -66,13 +67,20 @@
     else if (auto* demand = std::get_if<CreditDemand>(&message))
         pool.setDemand(number, demand->credits), updateCredits();
     else if (auto* returned = std::get_if<ReturnCredits>(&message))
-        pool.returnCredits(number, returned->credits), updateCredits();
+        onReturn(peer, *returned);
     else if (auto* report = std::get_if<PoisonReport>(&message))
         onPoisonReport(*report);
     else if (auto* delta = std::get_if<ConfigDelta>(&message))
         agent->control().submitDelta(std::move(*delta), peer.zone, std::nullopt, Millis(0));
 }
 
+void Sidecar::State::onReturn(const Peer& peer, const ReturnCredits& returned)
+{
+    pool.returnCredits(peer.number, returned.credits);
+    logCredits(peer, "credits returned", returned.credits);
+    updateCredits();
+}
+
 void Sidecar::State::onPoisonReport(const PoisonReport& report)
 {
     if (!poison.merge(toPoisonEvidence(report), Clock::now()))
--- a/sidecar/sidecar.cc
+++ b/sidecar/sidecar.cc
@@ -175,13 +175,21 @@
         const auto peer = peers.find(change.connection);
         if (peer == peers.end())
             continue;
+        const auto credits = static_cast<uint32_t>(std::abs(change.credits));
+        logCredits(peer->second, change.credits > 0 ? "credits granted" : "credits recalled", credits);
         if (change.credits > 0)
-            peer->second.connection->send(GrantCredits { static_cast<uint32_t>(change.credits) });
+            peer->second.connection->send(GrantCredits { credits });
         else
-            peer->second.connection->send(RecallCredits { static_cast<uint32_t>(-change.credits) });
+            peer->second.connection->send(RecallCredits { credits });
     }
 }
 
+void Sidecar::State::logCredits(const Peer& peer, std::string_view event, uint32_t credits) const
+{
+    if (isLogged(LogLevel::Debug))
+        log(LogLevel::Debug, event, { { "endpoint", settings.name }, { "entry", std::to_string(peer.entry) }, { "connection", std::to_string(peer.entryConnection) }, { "credits", std::to_string(credits) }, { "held", std::to_string(pool.held(peer.number)) }, { "heldByAll", std::to_string(pool.held()) }, { "inFlight", std::to_string(pool.inFlight()) }, { "limit", std::to_string(pool.limit()) } });
+}
+
 Task<> Sidecar::State::tickLoop()
 {
     while (true) {
--- a/sidecar/state.h
+++ b/sidecar/state.h
@@ -92,6 +92,7 @@
     void onPing(Peer&, const Ping&);
     void onResume(Peer&, const Resume&);
     void onAck(const Ack&);
+    void onReturn(const Peer&, const ReturnCredits&);
     void onCancel(const Cancel&);
     // Keeps a frame of an answer and sends it if the entry is connected.
     void sendFrame(const AttemptId&, Frame);
@@ -113,6 +114,8 @@
     void onOpenAttempt(Peer&, OpenAttempt&&);
     // Sets the credit pool's limit and sends the resulting grants and recalls to entries.
     void updateCredits();
+    // Writes a log line on a change of the credits that a peer holds.
+    void logCredits(const Peer&, std::string_view event, uint32_t credits) const;
     void onControlView(const ControlView&);
 
     // Active attempts.
--- a/transport/message.h
+++ b/transport/message.h
@@ -104,7 +104,7 @@
     uint32_t credits = 0;
 };
 
-// From the entry: gives unused credits back, in reply to a RecallCredits or unasked.
+// From the entry: gives unused credits back. Each RecallCredits gets one in reply, even if none are left.
 struct ReturnCredits {
     uint32_t credits = 0;
 };
