Let waiting requests of an entry sleep until something changes

All requests that wait for a credit shared one timer, and each set its own time limit on it. Setting a timer wakes everyone who waits on it, so two waiting requests woke each other without pause. The timer now has no time limit; the tick, every 50 ms, wakes the requests, which check their limits.

--- a/entry/entry.cc
+++ b/entry/entry.cc
@@ -226,6 +226,7 @@
             openLinks += link->isOpen() ? 1 : 0;
         }
         updateCreditDemand();
+        queueWakeup.cancel();
         ready = view.mayAcceptWork(now) && openLinks;
         updateGauges(now, openLinks);
     }
--- a/entry/request.cc
+++ b/entry/request.cc
@@ -360,7 +360,6 @@
     ++queuedTotal;
     updateCreditDemand();
     while (!link && !context.callerGone && Clock::now() < until) {
-        queueWakeup.expires_at(until);
         boost::system::error_code ignored;
         co_await queueWakeup.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         link = view.mayAcceptWork(Clock::now()) ? chooseLink(context) : nullptr;
--- a/entry/state.h
+++ b/entry/state.h
@@ -209,8 +209,9 @@
     // Number of requests that wait for a credit, by service.
     std::map<std::string, uint32_t, std::less<>> queuedByService;
     size_t queuedTotal = 0;
-    // Queued requests wait on this timer. It is cancelled when they should look for a link again.
-    boost::asio::steady_timer queueWakeup { trafficIo };
+    // Queued requests wait on this timer. It is cancelled when they should look for a link again, and at each
+    // tick, since one timer can't hold the time limits of several requests: setting it would wake all others.
+    boost::asio::steady_timer queueWakeup { trafficIo, TimePoint::max() };
     // Cache of SHA-256 digests by bearer token.
     std::map<std::string, std::string, std::less<>> tokenDigests;
     uint64_t lastRequestNumber = 0;
