--- a/bench/bench.h
+++ b/bench/bench.h
@@ -38,6 +38,9 @@
 // takes, at several sizes. Prints a table.
 int runPlan();
 
+// Splits of requests among two groups of engines of this many ranks.
+int runGroups(uint32_t ranks, double perSecond, uint32_t seeds);
+
 // Prints how a part of a prompt that crashes endpoints is found, over 50 seeds of a simulation.
 int runCrashParts();
 
--- a/bench/main.cc
+++ b/bench/main.cc
@@ -17,6 +17,13 @@
     CLI::App* plan = app.add_subcommand("plan", "planning of expert maps after shifts in expert popularity");
     CLI::App* crashParts = app.add_subcommand("crash-parts", "finding the part of a prompt that crashes endpoints, in a simulation");
     using namespace orioletrail::bench;
+    CLI::App* groups = app.add_subcommand("groups", "splits of requests among groups of engines that differ, in simulated time");
+    uint32_t groupRanks = 32;
+    double groupRequests = 224;
+    uint32_t groupSeeds = 3;
+    groups->add_option("--ranks", groupRanks, "ranks of each of the two groups")->check(CLI::Range(1, 1000))->capture_default_str();
+    groups->add_option("--per-second", groupRequests, "requests per second")->check(CLI::Range(1.0, 10'000.0))->capture_default_str();
+    groups->add_option("--seeds", groupSeeds, "number of simulations of each policy")->check(CLI::Range(1, 1000))->capture_default_str();
     CLI::App* experiment = app.add_subcommand("experiment", "a scenario of the model, with the full dispatch policy and with each mechanism left out in turn");
     ExperimentOptions options;
     experiment->add_option("scenario", options.scenarioFile, "file with the scenario, in JSON")->required()->check(CLI::ExistingFile);
@@ -37,6 +44,8 @@
         return runOverload();
     if (*plan)
         return runPlan();
+    if (*groups)
+        return runGroups(groupRanks, groupRequests, groupSeeds);
     if (*crashParts)
         return runCrashParts();
     if (*experiment)
