--- a/dispatch/outages.cc
+++ b/dispatch/outages.cc
@@ -3,10 +3,13 @@
 
 namespace orioletrail {
 
-std::string Dispatcher::outageGroupOf(const std::string& endpoint, TimePoint) const
+std::string Dispatcher::outageGroupOf(const std::string& endpoint, TimePoint now) const
 {
-    static_cast<void>(endpoint);
-    return {};
+    const auto record = m_snapshot.endpoints.find(endpoint);
+    if (record == m_snapshot.endpoints.end() || !m_groups.isGrouped(record->second.service, now))
+        return {};
+    const GroupReport* group = groupOf(record->second, now);
+    return group ? group->name : std::string();
 }
 
 bool Dispatcher::onRankEnded(const std::string& endpoint, TimePoint sent, TimePoint now)
