--- a/explain/explain-test.cc
+++ b/explain/explain-test.cc
@@ -28,22 +28,24 @@
 
 TEST_CASE("a wrong question is refused with a message that names the parameter")
 {
-    for (const auto& [target, expected] : std::vector<std::pair<std::string, std::string>> {
-             { "/explain", "parameter \"host\" is missing" },
-             { "/explain?host=a", "parameter \"path\" is missing" },
-             { "/explain?host=a&path=b", "invalid value of \"path\"" },
-             { "/explain?host=a&path=/&priority=-1", "invalid value of \"priority\"" },
-             { "/explain?host=a&path=/&time_left_ms=1e3", "invalid value of \"time_left_ms\"" },
-             { "/explain?host=a&path=/&prompt_tokens=99999999999999999999", "invalid value of \"prompt_tokens\"" },
-             { "/explain?host=a&path=/%4", "invalid value of \"path\"" },
-             { "/explain?host=a&path=/&parts=sys", "invalid value of \"parts\"" },
-             { "/explain?host=a&path=/&parts=a:1,a:1,a:1,a:1,a:1,a:1,a:1,a:1,a:1,a:1,a:1,a:1,a:1,a:1,a:1,a:1,a:1", "invalid value of \"parts\"" },
-             { "/explain?host=a&path=/&path=/b", "parameter \"path\" is given twice" },
-             { "/explain?host=a&path=/&key=k&account=b", "give either \"key\" or \"account\"" } }) {
+    const std::vector<std::pair<std::string, std::string>> wrong {
+        { "/explain", "parameter \"host\" is missing" },
+        { "/explain?host=a", "parameter \"path\" is missing" },
+        { "/explain?host=a&path=b", "invalid value of \"path\"" },
+        { "/explain?host=a&path=/&priority=-1", "invalid value of \"priority\"" },
+        { "/explain?host=a&path=/&time_left_ms=1e3", "invalid value of \"time_left_ms\"" },
+        { "/explain?host=a&path=/&prompt_tokens=99999999999999999999", "invalid value of \"prompt_tokens\"" },
+        { "/explain?host=a&path=/%4", "invalid value of \"path\"" },
+        { "/explain?host=a&path=/&parts=sys", "invalid value of \"parts\"" },
+        { "/explain?host=a&path=/&parts=a:1,a:1,a:1,a:1,a:1,a:1,a:1,a:1,a:1,a:1,a:1,a:1,a:1,a:1,a:1,a:1,a:1", "invalid value of \"parts\"" },
+        { "/explain?host=a&path=/&path=/b", "parameter \"path\" is given twice" },
+        { "/explain?host=a&path=/&key=k&account=b", "give either \"key\" or \"account\"" }
+    };
+    for (const auto& question : wrong) {
         std::string reason;
-        CAPTURE(target);
-        CHECK_FALSE(parseExplainQuery(target, reason));
-        CHECK(reason == expected);
+        CAPTURE(question.first);
+        CHECK_FALSE(parseExplainQuery(question.first, reason));
+        CHECK(reason == question.second);
     }
     std::string reason;
     CHECK_FALSE(parseExplainQuery("/explain?hots=a", reason));
--- a/model/model-test.cc
+++ b/model/model-test.cc
@@ -119,3 +119,37 @@
     scenario.engine.slow = { { 8, 20, 3, 5 } };
     CHECK(meanValue(scenario, "product") > meanValue(scenario, "without slowness"));
 }
+
+TEST_CASE("ranks read a shared part again unless they hold it, and with knowledge of parts less often")
+{
+    EngineModel engine;
+    engine.ranks = 2;
+    EngineGroup group(engine, { [](uint64_t) {}, [](uint64_t) {} });
+    const auto pass = [&](double seconds) {
+        group.beginPass(seconds);
+        group.endPass();
+    };
+    group.add(1, 0, 100, 3, 7, 400);
+    pass(0);
+    CHECK(group.tokensRead() == 500);
+    group.add(2, 0, 100, 1, 7, 400);
+    group.add(3, 1, 100, 1, 7, 400);
+    pass(0.1);
+    CHECK(group.tokensRead() == 500 + 100 + 500);
+    pass(0.2);
+    group.add(4, 0, 100, 1, 7, 400);
+    pass(0.3);
+    CHECK(group.tokensRead() == 1100 + 500);
+    Scenario scenario;
+    scenario.callers.perSecond = { { 0, 30 } };
+    scenario.callers.sharedTokens = 1000;
+    scenario.callers.sharedParts = 24;
+    scenario.engine.keepPartsMs = 60'000;
+    const SimulationResult with = simulate(scenario, policyOf("product"), 1);
+    const SimulationResult without = simulate(scenario, policyOf("without prompt parts"), 1);
+    CHECK(with.tokensRead < without.tokensRead);
+    CHECK(with.moved > 0);
+    CHECK(without.moved == 0);
+    CHECK(without.tokensSaved == 0);
+    CHECK(with.total.value() >= without.total.value() - 0.01);
+}
--- a/model/simulation.cc
+++ b/model/simulation.cc
@@ -31,7 +31,7 @@
             m_route = snapshot.catalog->findRoute("model.example", "/");
             m_catalog = snapshot.catalog;
             for (uint32_t entry = 0; entry < scenario.entries; ++entry) {
-                m_entries.push_back(std::make_unique<Dispatcher>("zone", policy.rules));
+                m_entries.push_back(std::make_unique<Dispatcher>("zone", policy.rules, "entry-" + std::to_string(entry)));
                 m_entries.back()->setSnapshot(snapshot);
                 m_entries.back()->setPartRetention(toMillis(scenario.engine.keepPartsMs));
             }
--- a/tests/direct-cluster.cc
+++ b/tests/direct-cluster.cc
@@ -310,4 +310,13 @@
     return callOnce(localAddress(m_basePort + metricsPortOffset), { "GET", "/metrics", {}, {} }).body;
 }
 
+std::pair<int, std::string> DirectCluster::explain(const std::string& words)
+{
+    const std::string output = m_directory.path("explain");
+    Process process({ "/bin/sh", "-c", "exec " + binaryPath("orioletrail") + " ctl --entry " + localAddress(m_basePort + metricsPortOffset) + " explain placement " + words + " >" + output + " 2>&1" });
+    const int code = process.wait(Millis(10'000)).value_or(-1);
+    std::ifstream file(output);
+    return { code, std::string { std::istreambuf_iterator<char>(file), {} } };
+}
+
 } // namespace orioletrail::tests
--- a/tests/direct-cluster.h
+++ b/tests/direct-cluster.h
@@ -86,6 +86,9 @@
     // Metrics of the first entry in text format.
     std::string metrics();
 
+    // Runs `orioletrail ctl explain placement` for the first entry. Returns the exit code and what it printed.
+    std::pair<int, std::string> explain(const std::string& words);
+
     static const std::vector<std::string>& endpointNames();
 
     // Of "p1" and "p2", the one that an entry chooses when both are equally loaded.
--- a/tests/direct-failure-test.cc
+++ b/tests/direct-failure-test.cc
@@ -956,3 +956,38 @@
         return cluster.runsByEndpoint()[target] > 0;
     }));
 }
+
+TEST_CASE("direct: operators are told where a request would go, and what is wrong with their question")
+{
+    DirectCluster cluster;
+    REQUIRE(cluster.waitUntilReady());
+    const auto explained = cluster.explain("host=app.example path=/lookup/1 account=bakery time_left_ms=2000 parts=5c1e:40");
+    CHECK(explained.first == 0);
+    // The same endpoint gets the request.
+    const std::string expected = "decision: placed, endpoint " + DirectCluster::preferredPlainEndpoint(0);
+    CHECK_MESSAGE(explained.second.find(expected) != std::string::npos, explained.second);
+    CHECK(explained.second.find("time left 2000 ms") != std::string::npos);
+    REQUIRE(cluster.call("GET", "/lookup/1", "x1").status == 200);
+    CHECK(cluster.runsByEndpoint() == std::map<std::string, int> { { DirectCluster::preferredPlainEndpoint(0), 1 } });
+    struct Question {
+        std::string words;
+        int code;
+        std::string message;
+    };
+    const std::vector<Question> questions {
+        { "host=app.example path=/lookup/1", 0, "refused before an endpoint is chosen: unauthorized" },
+        { "host=app.example", 2, "orioletrail: parameter \"path\" is missing" },
+        { "host=app.example path=/lookup/1 zone=z1", 2, "orioletrail: unknown parameter \"zone\"" },
+        { "host=app.example path=/nothing/1", 3, "orioletrail: no route for host \"app.example\" and path \"/nothing/1\"" },
+        { "host=app.example path=/lookup/1 account=nobody", 3, "orioletrail: no account \"nobody\"" },
+    };
+    for (const Question& question : questions) {
+        const auto answer = cluster.explain(question.words);
+        CAPTURE(question.words);
+        CHECK(answer.first == question.code);
+        CHECK_MESSAGE(answer.second.find(question.message) != std::string::npos, answer.second);
+    }
+    cluster.entry().signal(SIGKILL);
+    cluster.entry().wait(Millis(2000));
+    CHECK(cluster.explain("host=app.example path=/lookup/1").first == 5);
+}
