Test clients that would exhaust the memory or descriptors of a process

Clients brought down a process with bodies far over the limit or never ended. The new group failure-memory sends such requests from 60 clients to real processes on a machine of 40 MB, and opens 400 connections where 300 descriptors are allowed. It checks no times.

--- a/fakes/replica.cc
+++ b/fakes/replica.cc
@@ -63,7 +63,7 @@
                 co_await responder.respond(report);
                 co_return;
             }
-            const std::string fault = m_server.consumeFault("limited leaving pause unmarked refuse late-copy late-copy-unnamed misdirect lose cut-404 cut endless fail slow extra unframed unframed-cut unframed-crash unframed-empty");
+            const std::string fault = m_server.consumeFault("limited leaving pause unmarked refuse late-copy late-copy-unnamed misdirect lose cut-404 cut endless long fail slow extra unframed unframed-cut unframed-crash unframed-empty");
             m_isLimited = fault == "limited";
             m_isLeaving = fault == "leaving";
             if (fault == "misdirect" || request.header("X-Expect-Replica") != name()) {
@@ -90,6 +90,8 @@
                 responder.abort();
             else if (fault == "endless")
                 co_await sendWithoutEnd(request, responder);
+            else if (fault == "long")
+                co_await sendLong(request, responder);
             else if (request.target.starts_with("/stream/"))
                 co_await streamEvents(request, responder, fault);
             else
@@ -107,6 +109,28 @@
             while (co_await responder.chunk(block)) { }
         }
 
+        Task<> sendLong(const HttpRequest& request, Responder& responder)
+        {
+            constexpr int events = 200;
+            constexpr size_t eventBytes = 65'536;
+            constexpr size_t bodyBytes = size_t { 1 } << 20;
+            HeaderList headers = answerHeaders(request);
+            if (!request.target.starts_with("/stream/")) {
+                const HttpResponse answer { 200, std::move(headers), std::string(bodyBytes, 'x') };
+                co_await responder.respond(answer);
+                co_return;
+            }
+            headers.emplace_back("Content-Type", "text/event-stream");
+            co_await responder.begin(200, headers);
+            const std::string data(eventBytes, 'x');
+            for (int event = 1; event <= events; ++event) {
+                const std::string text = "id: " + std::to_string(event) + "\ndata: " + data + "\n\n";
+                if (!co_await responder.chunk(text))
+                    co_return;
+            }
+            co_await responder.end();
+        }
+
         Task<> respond(const HttpRequest& request, Responder& responder, const std::string& fault)
         {
             if (fault.starts_with("unframed")) {
--- a/fakes/replica.h
+++ b/fakes/replica.h
@@ -22,6 +22,7 @@
 // - "unmarked": runs the request and answers 503 without saying that it has not run.
 // - "slow": delays the answer by delayMs.
 // - "endless": sends a body, or for a stream an event, that has no end.
+// - "long": sends a body of 1 MB, or a stream of 200 events of 64 KB at once.
 // - "extra": sends a second answer after the first.
 #pragma once
 
--- a/tests/cluster.cc
+++ b/tests/cluster.cc
@@ -164,6 +164,11 @@
     return localAddress(endpointPort(name) + 1);
 }
 
+std::string Cluster::sidecarAdminAddress(const std::string& name) const
+{
+    return localAddress(endpointPort(name) + 2);
+}
+
 void Cluster::start(const std::string& name, std::vector<std::string> arguments)
 {
     m_processes.erase(name);
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -72,6 +72,7 @@
     std::string platformAddress() const;
     std::string endpointAddress(const std::string& name) const;
     std::string sidecarAddress(const std::string& name) const;
+    std::string sidecarAdminAddress(const std::string& name) const;
     // The gauges of all entries and of the sidecars of the service "print", one a line.
     std::string gauges() const;
 
--- a/tests/direct-cluster.cc
+++ b/tests/direct-cluster.cc
@@ -79,7 +79,13 @@
 }
 
 DirectCluster::DirectCluster(std::optional<int> entryOutputDescriptor)
+    : DirectCluster(DirectClusterOptions {}, entryOutputDescriptor)
+{
+}
+
+DirectCluster::DirectCluster(DirectClusterOptions options, std::optional<int> entryOutputDescriptor)
     : m_basePort(reservePorts())
+    , m_options(std::move(options))
     , m_entryOutputDescriptor(entryOutputDescriptor)
 {
     startStore();
@@ -133,7 +139,8 @@
     std::ofstream file(m_directory.path("settings" + (entry ? std::to_string(entry) : std::string())));
     file << "node=entry-" << entry + 1 << "\nzone=z1\nip=127.0.0.1\nplatform.addr=" << localAddress(m_storeRelays.contains(entry) ? base + storeRelayPortOffset : m_basePort) << "\nlisten.front=" << localAddress(base + callerPortOffset)
          << "\nlisten.ready=" << localAddress(base + readinessPortOffset) << "\ninternal_ports=" << base + peerPortOffset << ',' << base + peerPortOffset + 2
-         << "\nbounds.grace_s=8\nbounds.budget_slack=" << retrySlack << '\n';
+         << "\nbounds.grace_s=8\nbounds.budget_slack=" << retrySlack << '\n'
+         << m_options.settings;
 }
 
 int DirectCluster::entryBasePort(int entry) const
@@ -230,6 +237,8 @@
     configuration["routes"] = json::array { makeRoute("/stream/", "stream", "model", 2), makeRoute("/once/", "non_idempotent", "print", 1), makeRoute(lookupPrefix, "idempotent", "print", 2) };
     configuration["services"] = json::array { json::object { { "name", "model" } }, json::object { { "name", "print" } } };
     configuration["tenants"] = json::array { json::object { { "name", account }, { "api_keys", json::array { key } } } };
+    if (m_options.maxBodyBytes)
+        configuration["limits"] = json::object { { "max_body_bytes", m_options.maxBodyBytes } };
     putObject("config", "main", std::move(configuration));
 }
 
@@ -244,6 +253,11 @@
     return localAddress(entryBasePort(entry) + callerPortOffset);
 }
 
+std::string DirectCluster::metricsAddress(int entry) const
+{
+    return localAddress(entryBasePort(entry) + metricsPortOffset);
+}
+
 std::vector<json::object> DirectCluster::records() const
 {
     std::vector<json::object> all;
--- a/tests/direct-cluster.h
+++ b/tests/direct-cluster.h
@@ -9,6 +9,13 @@
 
 namespace orioletrail::tests {
 
+struct DirectClusterOptions {
+    // Lines for the settings file of each entry.
+    std::string settings;
+    // Limit in the configuration; 0 for the default.
+    size_t maxBodyBytes = 0;
+};
+
 // Starts a store, five endpoints and one entry in zone z1. The service "model" has the endpoints "m1" and "m2" in
 // z1 and "m3" in z2; the service "print" has "p1" and "p2" in z1. The host app.example has the routes /stream/
 // (to "model", resumable streams), /once/ (to "print", non-idempotent) and /lookup/ (to "print", idempotent). The
@@ -20,6 +27,7 @@
 
     // Entries write their log to the given file descriptor, or by default to a file, which logLines() reads.
     explicit DirectCluster(std::optional<int> entryOutputDescriptor = std::nullopt);
+    explicit DirectCluster(DirectClusterOptions, std::optional<int> entryOutputDescriptor = std::nullopt);
     ~DirectCluster();
 
     // Start a process, or replace it if it was started before (a running one is killed).
@@ -41,6 +49,7 @@
 
     // Address (IP:PORT) at which an entry accepts callers.
     std::string callerAddress(int entry) const;
+    std::string metricsAddress(int entry) const;
 
     // Sends a request with the given id to an entry. Adds "key-1" and a deadline of 3 s unless `headers` holds
     // an Authorization or X-Deadline-Ms.
@@ -99,6 +108,7 @@
     int entryBasePort(int entry) const;
 
     int m_basePort = 0;
+    DirectClusterOptions m_options;
     std::optional<int> m_entryOutputDescriptor;
     TemporaryDirectory m_directory;
     // By KIND/NAME: 1 if the object was created, so that the next write must be a PUT.
--- /dev/null
+++ b/tests/memory-failure-test.cc
@@ -0,0 +1,327 @@
+// Clients that send too much, never finish or do not read, against processes whose machine has 40 MB of memory. Only
+// what does not depend on the machine's speed is checked: processes live, stay within memory and descriptors, and answer.
+#include "tests/cluster.h"
+#include "tests/direct-cluster.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdlib>
+#include <doctest/doctest.h>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+using namespace orioletrail;
+using namespace orioletrail::tests;
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+constexpr size_t machineMegabytes = 40;
+constexpr size_t maxBodyBytes = size_t { 1 } << 20;
+constexpr size_t crowdClients = 60;
+constexpr size_t idleConnections = 400;
+constexpr size_t maxDescriptors = 300;
+
+// Largest resident memory that a process has had so far, in MB.
+double peakMegabytes(const Process& process)
+{
+    std::ifstream file("/proc/" + std::to_string(process.pid()) + "/status");
+    double kilobytes = 0;
+    for (std::string word; file >> word;)
+        if (word == "VmHWM:")
+            file >> kilobytes;
+    constexpr double kilobytesPerMegabyte = 1024;
+    return kilobytes / kilobytesPerMegabyte;
+}
+
+size_t descriptorCount(const Process& process)
+{
+    std::error_code ignored;
+    const std::filesystem::directory_iterator first("/proc/" + std::to_string(process.pid()) + "/fd", ignored);
+    return static_cast<size_t>(std::distance(first, std::filesystem::directory_iterator()));
+}
+
+// Connections that all send the same bytes and stay open.
+class Crowd {
+public:
+    Crowd(const std::string& address, size_t clients, std::string bytes)
+        : m_bytes(std::move(bytes))
+        , m_sent(clients)
+    {
+        const auto parsed = parseAddress(address);
+        for (size_t client = 0; client < clients; ++client) {
+            tcp::socket& socket = m_sockets.emplace_back(m_context);
+            const tcp::endpoint endpoint(boost::asio::ip::make_address(parsed->first), parsed->second);
+            boost::system::error_code ignored;
+            socket.open(endpoint.protocol(), ignored);
+            socket.set_option(boost::asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
+            socket.connect(endpoint, ignored);
+            socket.non_blocking(true, ignored);
+        }
+    }
+
+    // Sends in turns until all is sent, or until the server has taken nothing for a second.
+    void send()
+    {
+        constexpr size_t turnBytes = 65'536;
+        constexpr Millis patience { 1000 };
+        TimePoint lastProgress = Clock::now();
+        while (Clock::now() - lastProgress < patience) {
+            bool isUnsent = false;
+            bool hasProgress = false;
+            for (size_t client = 0; client < m_sockets.size(); ++client) {
+                const size_t left = std::min(turnBytes, m_bytes.size() - m_sent[client]);
+                boost::system::error_code error;
+                const size_t sent = left ? m_sockets[client].send(boost::asio::buffer(m_bytes.data() + m_sent[client], left), MSG_NOSIGNAL, error) : 0;
+                m_sent[client] = error && error != boost::asio::error::would_block ? m_bytes.size() : m_sent[client] + sent;
+                hasProgress = hasProgress || sent;
+                isUnsent = isUnsent || m_sent[client] < m_bytes.size();
+            }
+            if (!isUnsent)
+                return;
+            if (hasProgress)
+                lastProgress = Clock::now();
+            else
+                std::this_thread::sleep_for(Millis(5));
+        }
+    }
+
+    // Leaves answers unread for some seconds, apart from one byte per second.
+    void waitUnread(bool readsSlowly)
+    {
+        constexpr int seconds = 4;
+        for (int second = 0; second < seconds; ++second) {
+            std::this_thread::sleep_for(std::chrono::seconds(1));
+            for (size_t client = 0; readsSlowly && client < m_sockets.size(); ++client) {
+                char byte = 0;
+                boost::system::error_code ignored;
+                m_sockets[client].receive(boost::asio::buffer(&byte, 1), 0, ignored);
+            }
+        }
+    }
+
+private:
+    static constexpr int receiveBufferBytes = 4096;
+
+    boost::asio::io_context m_context;
+    std::string m_bytes;
+    std::vector<size_t> m_sent;
+    std::vector<tcp::socket> m_sockets;
+};
+
+const std::string requestHead = "POST /once/1 HTTP/1.1\r\nHost: app.example\r\nAuthorization: Bearer key-1\r\n";
+
+std::string announcedBody(uint64_t announced, size_t bytes)
+{
+    return requestHead + "Content-Length: " + std::to_string(announced) + "\r\n\r\n" + std::string(bytes, 'x');
+}
+
+// A chunked body without its last chunk.
+std::string chunkedBody(size_t bytes, size_t chunkBytes)
+{
+    std::array<char, 32> size {};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", chunkBytes);
+    const std::string chunk = size.data() + std::string(chunkBytes, 'x') + "\r\n";
+    std::string request = requestHead + "Transfer-Encoding: chunked\r\n\r\n";
+    for (size_t sent = 0; sent + chunkBytes <= bytes; sent += chunkBytes)
+        request += chunk;
+    return request;
+}
+
+// Chooses what the clients of the crowd send, in one subcase each.
+std::string crowdRequest()
+{
+    constexpr uint64_t terabyte = uint64_t { 1 } << 40;
+    constexpr size_t largeChunk = 32'768;
+    constexpr size_t smallChunkedBytes = 400'000;
+    std::string request;
+    SUBCASE("a body without its last byte") { request = announcedBody(maxBodyBytes, maxBodyBytes - 1); }
+    SUBCASE("a body announced too large") { request = announcedBody(terabyte, maxBodyBytes); }
+    SUBCASE("a body too large without announcement") { request = chunkedBody(3 * maxBodyBytes, largeChunk); }
+    SUBCASE("large chunks without end") { request = chunkedBody(maxBodyBytes - 1, largeChunk); }
+    SUBCASE("chunks of one byte without end") { request = chunkedBody(smallChunkedBytes, 1); }
+    SUBCASE("a head without end") { request = requestHead + "X-Long: " + std::string(maxBodyBytes, 'x'); }
+    return request;
+}
+
+void sendCrowd(const std::string& address, Crowd& crowd)
+{
+    CAPTURE(address);
+    crowd.send();
+    // The server may still be reading what the sockets hold.
+    std::this_thread::sleep_for(Millis(500));
+}
+
+void checkWithinMemory(Process& process)
+{
+    CHECK_FALSE(process.wait(Millis(0)));
+    CHECK(peakMegabytes(process) < machineMegabytes);
+}
+
+DirectClusterOptions smallMachine()
+{
+    return { "limits.memory_mb=" + std::to_string(machineMegabytes) + "\nlimits.max_fds=" + std::to_string(maxDescriptors) + '\n', maxBodyBytes };
+}
+
+// Sets the memory of the processes that are started while it exists.
+class MemoryVariable {
+public:
+    MemoryVariable() { setenv("ORIOLETRAIL_MEMORY", std::to_string(machineMegabytes).c_str(), 1); }
+    ~MemoryVariable() { unsetenv("ORIOLETRAIL_MEMORY"); }
+    MemoryVariable(const MemoryVariable&) = delete;
+    MemoryVariable& operator=(const MemoryVariable&) = delete;
+};
+
+ClusterOptions oneZone()
+{
+    ClusterOptions options;
+    options.zones = 1;
+    options.enginesPerZone = 1;
+    return options;
+}
+
+bool answersOrdinaryRequest(DirectCluster& cluster)
+{
+    int request = 0;
+    return waitUntil([&] { return cluster.call("GET", "/lookup/1", "ordinary-" + std::to_string(request++)).status == 200; });
+}
+
+bool answersOrdinaryRequest(Cluster& cluster)
+{
+    return waitUntil([&] { return cluster.call(cluster.entryAddress(1), "GET", "/services/print/orders/1").status == 200; });
+}
+
+void checkEntry(DirectCluster& cluster)
+{
+    CHECK(answersOrdinaryRequest(cluster));
+    checkWithinMemory(cluster.entry());
+}
+
+void checkDirect(bool atMetricsPort)
+{
+    DirectCluster cluster(smallMachine());
+    REQUIRE(cluster.waitUntilReady());
+    const std::string address = atMetricsPort ? cluster.metricsAddress(0) : cluster.callerAddress(0);
+    Crowd crowd(address, crowdClients, crowdRequest());
+    sendCrowd(address, crowd);
+    checkEntry(cluster);
+    if (atMetricsPort)
+        CHECK(waitUntil([&] { return !cluster.metrics().empty(); }));
+}
+
+// What the crowd sends to a port of a cluster with sidecars, and the process that has this port.
+void checkBehindSidecars(const std::function<std::string(Cluster&)>& address, const std::function<Process&(Cluster&)>& process)
+{
+    const MemoryVariable variable;
+    Cluster cluster(oneZone());
+    REQUIRE(cluster.waitUntilReady());
+    Crowd crowd(address(cluster), crowdClients, crowdRequest());
+    sendCrowd(address(cluster), crowd);
+    CHECK(answersOrdinaryRequest(cluster));
+    checkWithinMemory(process(cluster));
+}
+
+} // namespace
+
+TEST_CASE("memory: a crowd at the callers' port of a direct entry")
+{
+    checkDirect(false);
+}
+
+TEST_CASE("memory: a crowd at the metrics port of a direct entry")
+{
+    checkDirect(true);
+}
+
+TEST_CASE("memory: a crowd at the callers' port of an entry")
+{
+    checkBehindSidecars([](Cluster& cluster) { return cluster.entryAddress(1); }, [](Cluster& cluster) -> Process& { return cluster.entry(1); });
+}
+
+TEST_CASE("memory: a crowd at the admin port of an entry")
+{
+    checkBehindSidecars([](Cluster& cluster) { return cluster.adminAddress(1); }, [](Cluster& cluster) -> Process& { return cluster.entry(1); });
+}
+
+TEST_CASE("memory: a crowd at the admin port of a sidecar")
+{
+    checkBehindSidecars([](Cluster& cluster) { return cluster.sidecarAdminAddress("z1-s1"); }, [](Cluster& cluster) -> Process& { return cluster.sidecar("z1-s1"); });
+}
+
+TEST_CASE("memory: messages without end at the port of a sidecar")
+{
+    const MemoryVariable variable;
+    Cluster cluster(oneZone());
+    REQUIRE(cluster.waitUntilReady());
+    // The length of a payload of 1 MB, and all of it but the last byte.
+    const std::string message = std::string { 0, 0x10, 0, 0 } + std::string(maxBodyBytes - 1, 'x');
+    Crowd crowd(cluster.sidecarAddress("z1-s1"), crowdClients, message);
+    sendCrowd(cluster.sidecarAddress("z1-s1"), crowd);
+    CHECK(answersOrdinaryRequest(cluster));
+    checkWithinMemory(cluster.sidecar("z1-s1"));
+}
+
+TEST_CASE("memory: clients of a direct entry that do not read a long answer")
+{
+    std::string target;
+    bool readsSlowly = false;
+    SUBCASE("answer of 1 MB, of which nothing is read") { target = "/lookup/1"; }
+    SUBCASE("stream of 12 MB, of which nothing is read") { target = "/stream/1"; }
+    SUBCASE("answer of 1 MB, of which one byte per second is read")
+    {
+        target = "/lookup/1";
+        readsSlowly = true;
+    }
+    SUBCASE("stream of 12 MB, of which one byte per second is read")
+    {
+        target = "/stream/1";
+        readsSlowly = true;
+    }
+    DirectCluster cluster(smallMachine());
+    REQUIRE(cluster.waitUntilReady());
+    for (const std::string& name : DirectCluster::endpointNames())
+        cluster.setFault(name, "long");
+    Crowd crowd(cluster.callerAddress(0), crowdClients, "GET " + target + " HTTP/1.1\r\nHost: app.example\r\nAuthorization: Bearer key-1\r\nX-Deadline-Ms: 3000\r\n\r\n");
+    crowd.send();
+    crowd.waitUnread(readsSlowly);
+    for (const std::string& name : DirectCluster::endpointNames())
+        cluster.setFault(name, "none");
+    checkEntry(cluster);
+}
+
+TEST_CASE("memory: clients of an entry that do not read a long answer")
+{
+    const MemoryVariable variable;
+    Cluster cluster(oneZone());
+    REQUIRE(cluster.waitUntilReady());
+    constexpr size_t bodyBytes = 900'000;
+    const std::string order = "POST /services/print/orders HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer test-token\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'x');
+    Crowd crowd(cluster.entryAddress(1), crowdClients, order);
+    crowd.send();
+    bool readsSlowly = false;
+    SUBCASE("nothing is read") { }
+    SUBCASE("one byte per second is read") { readsSlowly = true; }
+    crowd.waitUnread(readsSlowly);
+    CHECK(answersOrdinaryRequest(cluster));
+    checkWithinMemory(cluster.entry(1));
+    checkWithinMemory(cluster.sidecar("z1-s1"));
+}
+
+TEST_CASE("memory: connections to a direct entry that send nothing")
+{
+    DirectCluster cluster(smallMachine());
+    REQUIRE(cluster.waitUntilReady());
+    std::string address;
+    SUBCASE("callers' port") { address = cluster.callerAddress(0); }
+    SUBCASE("metrics port") { address = cluster.metricsAddress(0); }
+    Crowd crowd(address, idleConnections, {});
+    // The entry may still be accepting.
+    std::this_thread::sleep_for(Millis(500));
+    CHECK(descriptorCount(cluster.entry()) <= maxDescriptors);
+    checkEntry(cluster);
+    CHECK(waitUntil([&] { return !cluster.metrics().empty(); }));
+    CHECK(descriptorCount(cluster.entry()) <= maxDescriptors);
+}
