Weigh late counts less when a rank of a group is chosen

With reports 200 ms late, 16 entries sent to the same ranks of a group: ranks got more streams than slots, the first event took 1,258 ms at the 95th percentile, and the load of the group changed by 0.203 of itself in a second. Services that are treated as a whole are placed as before.

--- a/dispatch/dispatcher.cc
+++ b/dispatch/dispatcher.cc
@@ -38,6 +38,11 @@
     // Weight of a new answer in the moving averages of its duration and its number of events.
     constexpr double answerWeight = 0.05;
 
+    // Weight of the differences between ranks in the streams of other instances, which are known late, against this
+    // instance's own. With 1, instances that hear of each other 200 ms late all send to the same ranks, and requests
+    // wait there for slots.
+    constexpr double lateCountWeight = 0.25;
+
     double toMillis(Clock::duration time)
     {
         return std::chrono::duration<double, std::milli>(time).count();
@@ -248,11 +253,20 @@
 {
     std::vector<PlaceOption> ranks;
     std::vector<size_t> indices;
+    double othersMean = 0;
     for (size_t index = 0; index < options.size(); ++index) {
         if (groupOf[index] != group)
             continue;
         ranks.push_back(options[index]);
         indices.push_back(index);
+        othersMean += options[index].load - m_loads.ownCount(options[index].endpoint);
+    }
+    othersMean /= std::max(1.0, static_cast<double>(ranks.size()));
+    for (PlaceOption& rank : ranks) {
+        const double others = rank.load - m_loads.ownCount(rank.endpoint);
+        const double correction = (1 - detail::lateCountWeight) * (othersMean - others);
+        rank.load += correction;
+        rank.limit += correction;
     }
     PlaceChoice choice = placeRequest(ranks, m_zone);
     if (choice.failure == PlaceFailure::None)
