--- a/outage/messages.cc
+++ b/outage/messages.cc
@@ -13,7 +13,7 @@
     constexpr std::string_view servedField = "servedMs";
 
     // Returns nothing if the field is missing or no age.
-    std::optional<Millis> readAge(const json::object& object, std::string_view name)
+    std::optional<Millis> readOutageAge(const json::object& object, std::string_view name)
     {
         constexpr double maxAgeMs = 24.0 * 3600 * 1000;
         const json::value* field = object.if_contains(name);
@@ -52,7 +52,7 @@
         const json::object* item = value.if_object();
         if (!item || reports.size() >= OutageSettings {}.maxGroups)
             continue;
-        const OutageReport report { detail::readAge(*item, detail::failedField), detail::readAge(*item, detail::servedField) };
+        const OutageReport report { detail::readOutageAge(*item, detail::failedField), detail::readOutageAge(*item, detail::servedField) };
         if (report != OutageReport {})
             reports.emplace(group, report);
     }
