Tell all entries of endpoints that are full

Entries hear of each other's requests every 100 ms, so all of them see the same free places; entries that start, stop or are not heard count too few requests.

rejection/full-endpoints.h keeps what an endpoint stated last of its load, from rejections, X-Replica-Load, the entry's own requests to endpoints that are half full, and other entries (status field "full" and a datagram at once). It holds for 200 ms, less the requests that end. A waiting request takes the last place of an endpoint in its entry's turn only. Counts of an entry that is not heard are used for 250 ms, 1 s before.

--- a/direct/attempt.cc
+++ b/direct/attempt.cc
@@ -109,7 +109,7 @@
             onLimitNamed(target->record.id, head);
         onNotices(target->record.id, head);
         if (head.load)
-            dispatcher->loads().onReported(target->record.id, head.load->running + head.load->waiting, firstByteAt);
+            dispatcher->onReported(target->record.id, head.load->running + head.load->waiting, firstByteAt);
         co_return;
     };
     hooks.chunk = [&](std::string_view bytes) -> Task<bool> {
@@ -363,6 +363,7 @@
 {
     const std::string& endpoint = job.tried.back();
     const TimePoint now = Clock::now();
+    onRejected(endpoint, head);
     const bool wasSent = callResult.failure != HttpFailure::Connect;
     if (!wasSent && job.isRetryCharged)
         retries.refund(job.service, now);
--- a/direct/direct.cc
+++ b/direct/direct.cc
@@ -120,6 +120,7 @@
     PeerExchange::Hooks hooks;
     hooks.ownStatus = [this] { return ownStatus(); };
     hooks.onStatus = [this](PeerStatus status) { onPeerStatus(std::move(status)); };
+    hooks.onFull = [this](const FullReports& reports) { onPeerFull(reports); };
     peers = std::make_unique<PeerExchange>(traffic.get_executor(), std::move(hooks));
     handover = std::make_unique<LeadershipHandover>(InstanceProcess { platform.instance, random() });
     createMapDriver();
--- a/direct/peer-messages.cc
+++ b/direct/peer-messages.cc
@@ -161,6 +161,7 @@
     status.limits = dispatcher->namedLimits(Clock::now());
     status.sent = dispatcher->sentAges(Clock::now());
     status.outages = dispatcher->outageReports(Clock::now());
+    status.full = dispatcher->fullReports(Clock::now());
     status.poison = poison.report(Clock::now());
     status.crashes = crashParts.report(Clock::now());
     status.zone = platform.zone;
@@ -178,6 +179,36 @@
     return status;
 }
 
+void DirectEntry::State::onPeerFull(const FullReports& reports)
+{
+    const size_t news = dispatcher->onPeerFull(reports, Clock::now());
+    if (!news)
+        return;
+    metrics.count("orioletrail_full_endpoints_total", "source=\"peer\"", news);
+    if (isLogged(LogLevel::Debug))
+        log(LogLevel::Debug, "full endpoints reported", { { "endpoints", std::to_string(news) } });
+}
+
+void DirectEntry::State::tellFull()
+{
+    if (peers->tellFull(dispatcher->takeFullNews(Clock::now())))
+        metrics.count("orioletrail_full_messages_total");
+}
+
+void DirectEntry::State::onRejected(const std::string& endpoint, const EndpointHead& head)
+{
+    // Endpoints reject for other reasons too: a pause, a limit in requests per second, another endpoint's failure,
+    // or another one that was meant. One that states free slots is not full.
+    const bool hasSlots = head.load && head.load->running + head.load->waiting < head.load->slots;
+    if (!head.notRun || head.wrongEndpoint || head.isLeaving || head.pause > Millis(0) || head.requestsPerSecond > 0 || !head.failedEndpoint.empty() || hasSlots)
+        return;
+    const auto load = head.load ? std::optional(head.load->running + head.load->waiting) : std::nullopt;
+    const bool isNews = dispatcher->onRejected(endpoint, load, Clock::now());
+    metrics.count("orioletrail_full_endpoints_total", "source=\"own\"");
+    log(LogLevel::Info, "endpoint is full", { { "endpoint", endpoint }, { "load", load ? std::to_string(*load) : "" }, { "isNews", isNews ? "true" : "false" }, { "fullEndpoints", std::to_string(dispatcher->fullEndpoints(Clock::now())) } });
+    tellFull();
+}
+
 void DirectEntry::State::onPeerStatus(PeerStatus status)
 {
     livePeers.onStatus(status.sender, status.stopping, status.processorShare, Clock::now());
@@ -205,6 +236,7 @@
     if (accepted)
         mapDriver->takeOver(*accepted);
     dispatcher->loads().onPeerCounts(status.sender.instance, std::move(status.inFlight), Clock::now());
+    onPeerFull(status.full);
     dispatcher->wakeWaiting(Clock::now());
 }
 
--- a/direct/peers-test.cc
+++ b/direct/peers-test.cc
@@ -36,6 +36,7 @@
     status.closedZones = { "z2", "z3" };
     status.limits = { { "e-1", { 17'000'000'000'000'000'003U, 2.25, Millis(30) } } };
     status.sent = { { "e-1", { Millis(0), Millis(3900) } } };
+    status.full = { { "e-1", { 17'000'000'000'000'000'005U, 10, Millis(40) } } };
     status.leading = true;
     status.changingMap = true;
     status.stopping = true;
@@ -74,6 +75,10 @@
     REQUIRE(malformed);
     CHECK(malformed->limits.empty());
     CHECK(malformed->sent.empty());
+    REQUIRE(read->full.contains("e-1"));
+    CHECK(read->full.at("e-1").process == status.full.at("e-1").process);
+    CHECK(read->full.at("e-1").load == 10);
+    CHECK(read->full.at("e-1").age == Millis(40));
     CHECK(read->leading);
     CHECK(read->stopping);
     CHECK(read->offer == status.offer);
--- a/direct/peers.cc
+++ b/direct/peers.cc
@@ -2,6 +2,7 @@
 
 #include "direct/crash-report.h"
 #include "gateway/async.h"
+#include "rejection/full-report.h"
 #include "telemetry/log.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -210,6 +211,7 @@
         object["limits"] = detail::writeLimits(status.limits);
     if (!status.sent.empty())
         object["sent"] = detail::writeSent(status.sent);
+    writeFullReports(status.full, object);
     writePoisonEvidence(status.poison, object);
     writeCrashReport(status.crashes, object);
     writeOutages(status.outages, object);
@@ -269,6 +271,7 @@
                 status.closedZones.emplace(zone.get_string());
     status.limits = detail::readLimits(*object);
     status.sent = detail::readSent(*object);
+    status.full = readFullReports(*object);
     status.poison = readPoisonEvidence(*object);
     status.crashes = readCrashReport(*object);
     status.outages = readOutages(*object);
@@ -334,6 +337,21 @@
     }
 }
 
+bool PeerExchange::tellFull(const FullReports& reports)
+{
+    if (reports.empty() || m_peers.empty() || m_peers.size() > FullEndpoints::maxToldAtOnce)
+        return false;
+    const TimePoint now = Clock::now();
+    const std::string datagram = encodeFullMessage(reports);
+    for (const auto& [address, peer] : m_peers) {
+        if (now - peer.lastReceived > m_settings.silentAfter)
+            continue;
+        boost::system::error_code ignored;
+        m_socket.send_to(asio::buffer(datagram), peer.endpoint, 0, ignored);
+    }
+    return true;
+}
+
 Task<> PeerExchange::receiveLoop()
 {
     std::vector<char> buffer(detail::maxDatagramBytes);
@@ -345,6 +363,11 @@
             co_return;
         if (error)
             continue;
+        if (const auto full = decodeFullMessage({ buffer.data(), bytes })) {
+            if (m_hooks.onFull)
+                m_hooks.onFull(*full);
+            continue;
+        }
         std::optional<PeerStatus> status = decodePeerStatus({ buffer.data(), bytes });
         if (!status) {
             log(LogLevel::Warning, "invalid status message dropped", { { "from", from.address().to_string() } });
--- a/direct/peers.h
+++ b/direct/peers.h
@@ -9,6 +9,7 @@
 #include "gateway/http.h"
 #include "group/group-report.h"
 #include "outage/messages.h"
+#include "rejection/full-endpoints.h"
 #include "retry/crash-parts.h"
 #include "retry/poison.h"
 #include "routing/load.h"
@@ -36,6 +37,8 @@
     // Limits that endpoints have named, and what the sender sent to limited and cold endpoints.
     NamedLimits limits;
     SentAges sent;
+    // What the sender heard from endpoints that are full.
+    FullReports full;
     std::string zone;
     // Outages of groups of engines that the sender has seen.
     OutageReports outages;
@@ -83,6 +86,8 @@
         std::function<PeerStatus()> ownStatus;
         // Called with each status that a peer sent.
         std::function<void(PeerStatus)> onStatus;
+        // Called with what a peer told at once of full endpoints.
+        std::function<void(const FullReports&)> onFull {};
     };
 
     PeerExchange(boost::asio::any_io_executor, Hooks, const PeerExchangeSettings& = {});
@@ -94,6 +99,9 @@
     // Adds a peer (IP:PORT) to send to. Peers that send a status are added as well.
     void addPeer(const std::string& address);
 
+    // Tells the peers of full endpoints at once. Does nothing if there are too many peers. Returns whether it did.
+    bool tellFull(const FullReports&);
+
     const std::string& lastError() const { return m_lastError; }
 
 private:
--- a/direct/request.cc
+++ b/direct/request.cc
@@ -174,6 +174,7 @@
     const std::optional<std::string> endpoint = dispatcher->reserve(job, Clock::now());
     if (endpoint)
         onPlaced(job, *endpoint);
+    tellFull();
     return endpoint.has_value();
 }
 
@@ -198,6 +199,7 @@
         co_return DirectRefusal { 503, decision.reason, Outcome::NotRun, decision.retryAfter };
     if (decision.kind == DispatchKind::Placed) {
         onPlaced(job, decision.endpoint);
+        tellFull();
         co_return std::nullopt;
     }
     job.queueTimer = std::make_shared<asio::steady_timer>(traffic);
--- a/direct/state.h
+++ b/direct/state.h
@@ -197,6 +197,11 @@
     // Tells the watcher which other entries to read from.
     void updateFeeders(TimePoint);
     void onPeerStatus(PeerStatus);
+    void onPeerFull(const FullReports&);
+    // Tells the peers at once what is new of full endpoints.
+    void tellFull();
+    // An endpoint rejected a request: counts it as full if that is why.
+    void onRejected(const std::string& endpoint, const EndpointHead&);
     // Registers this entry in the store and adds all registered entries as peers. Runs on the control
     // thread.
     Task<> joinPeers();
--- a/dispatch/dispatcher.cc
+++ b/dispatch/dispatcher.cc
@@ -64,6 +64,7 @@
             m_rateLimiter.removeEndpoint(id);
             m_limits.removeEndpoint(id);
             m_notices.removeEndpoint(id);
+            m_full.removeEndpoint(id);
             m_instancesBefore.erase(id);
         }
         if (current == snapshot.endpoints.end() || current->second.processStartMs != previous.processStartMs || current->second.host != previous.host || current->second.port != previous.port) {
@@ -149,9 +150,9 @@
         PlaceOption option;
         option.endpoint = record->id;
         option.zone = record->zone;
-        option.load = m_loads.estimate(record->id, now);
+        option.load = std::max(m_loads.estimate(record->id, now), m_full.loadOf(record->id, processOf(*record), countedAt(record->id, now), now));
         option.preference = m_preferences.at(record->id);
-        option.limit = (isEngine ? 1 : detail::plainLoadPerSlot) * record->slots;
+        option.limit = limitFor(*record);
         const double firstByte = detail::toMillis(m_health.meanFirstByte(record->id));
         if (service && !isEngine && firstByte > 0 && sumFirstByte > 0)
             option.slowness = firstByte * static_cast<double>(measured) / sumFirstByte;
@@ -171,6 +172,12 @@
         if (isPaused || (limit > 0 && !hasRateLeft(record->id, { limit, detail::limitWindow }, now)))
             option.load = std::max(option.load, option.limit);
         option.avoided = m_health.isAvoided(record->id, isIdempotent, now);
+        // A request that does not wait takes the last place of an endpoint out of turn if there is no other place.
+        if (!m_instance.empty() && option.load + 2 > option.limit && !isTurn(m_instance, record->id, m_loads.livePeerCount(now) + 1, now)) {
+            option.avoided = true;
+            if (!request.route)
+                option.load = option.limit;
+        }
         option.tried = std::find(request.tried.begin(), request.tried.end(), record->id) != request.tried.end();
         if (weighedEngine)
             option.saving = savingAt(m_parts, *weighedEngine, *record, option.load, prefixes, request.size, now).requests;
@@ -329,6 +336,52 @@
         m_notices.onPause(endpoint, processOf(record->second), now + pause);
 }
 
+CountedRequests Dispatcher::countedAt(std::string_view endpoint, TimePoint now) const
+{
+    return { static_cast<double>(m_loads.ownCount(endpoint)), static_cast<double>(m_loads.peerCount(endpoint, now)) };
+}
+
+bool Dispatcher::onRejected(const std::string& endpoint, std::optional<uint32_t> load, TimePoint now)
+{
+    const auto record = m_snapshot.endpoints.find(endpoint);
+    if (record == m_snapshot.endpoints.end())
+        return false;
+    // It takes no more than it has, whatever its limit is here.
+    const uint32_t full = std::max(load.value_or(0), static_cast<uint32_t>(limitFor(record->second)));
+    return m_full.onRejected(endpoint, processOf(record->second), full, countedAt(endpoint, now), now);
+}
+
+void Dispatcher::onReported(const std::string& endpoint, uint32_t load, TimePoint now)
+{
+    m_loads.onReported(endpoint, load, now);
+    const auto record = m_snapshot.endpoints.find(endpoint);
+    if (record != m_snapshot.endpoints.end())
+        m_full.onReported(endpoint, processOf(record->second), load, static_cast<uint32_t>(limitFor(record->second)), countedAt(endpoint, now), now);
+}
+
+size_t Dispatcher::onPeerFull(const FullReports& reports, TimePoint now)
+{
+    size_t news = 0;
+    for (const auto& [endpoint, report] : reports)
+        if (m_snapshot.endpoints.contains(endpoint) && m_full.onPeerReport(endpoint, report, countedAt(endpoint, now), now))
+            ++news;
+    return news;
+}
+
+void Dispatcher::onSentTo(const EndpointRecord& record, TimePoint now)
+{
+    const CountedRequests counted = countedAt(record.id, now);
+    const double load = std::max(counted.own + counted.others, m_full.loadOf(record.id, processOf(record), counted, now));
+    if (load >= FullEndpoints::nearlyFull * limitFor(record))
+        m_full.onNearlyFull(record.id, processOf(record), static_cast<uint32_t>(load), counted, now);
+}
+
+double Dispatcher::limitFor(const EndpointRecord& record) const
+{
+    const ServiceProfile* service = m_snapshot.catalog ? m_snapshot.catalog->findService(record.service) : nullptr;
+    return (service && service->engine ? 1 : detail::plainLoadPerSlot) * record.slots;
+}
+
 Millis Dispatcher::shortestPause(const DispatchRequest& request, TimePoint now) const
 {
     Millis shortest { 0 };
@@ -402,6 +455,7 @@
         m_outages.onSent(group->name, now);
     }
     m_loads.onSent(record.id);
+    onSentTo(record, now);
     if (isRateLimited(record, now))
         m_rateLimiter.onSent(record.id, now);
     return record.id;
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -11,6 +11,7 @@
 #include "group/group-balance.h"
 #include "outage/outages.h"
 #include "prefix/saving.h"
+#include "rejection/full-endpoints.h"
 #include "routing/health.h"
 #include "routing/load.h"
 #include "routing/placer.h"
@@ -152,6 +153,19 @@
     NamedLimits namedLimits(TimePoint now) const { return m_limits.report(now); }
     SentAges sentAges(TimePoint now) const { return m_rateLimiter.sentAges(now); }
 
+    // An endpoint rejected a request of this instance, which has ended, because it is full. `load` is the number
+    // of its requests, if it stated that. Returns whether that was news.
+    bool onRejected(const std::string& endpoint, std::optional<uint32_t> load, TimePoint);
+    // An endpoint reported the number of its requests with an answer.
+    void onReported(const std::string& endpoint, uint32_t load, TimePoint);
+    // Merges what another instance heard from endpoints that are full. Returns how many were news.
+    size_t onPeerFull(const FullReports&, TimePoint);
+    // The same of this instance, for the others.
+    FullReports fullReports(TimePoint now) const { return m_full.report(now); }
+    // What others should hear of full endpoints at once.
+    FullReports takeFullNews(TimePoint now) { return m_full.takeNews(now); }
+    size_t fullEndpoints(TimePoint now) const { return m_full.size(now); }
+
     // Called for each request for a streaming route: the route's gap objective and timeout become
     // those that the service's pace limit is calculated from.
     void updatePaceProfile(const std::string& service, const Route&, TimePoint);
@@ -261,6 +275,11 @@
     bool hasRateLeft(const std::string& endpoint, const Rate&, TimePoint);
     // True if this instance is one of the first `count` by rendezvous with the endpoint.
     bool isAmongFirst(const std::string& endpoint, size_t count);
+    // A request of this instance goes to the endpoint and is counted there.
+    void onSentTo(const EndpointRecord&, TimePoint);
+    // Most requests that the endpoint may have in flight.
+    double limitFor(const EndpointRecord&) const;
+    CountedRequests countedAt(std::string_view endpoint, TimePoint) const;
     // The limit that the endpoint's process has named in requests per second, 0 if it has none.
     double limitOf(const EndpointRecord&) const;
     // The requests to the endpoint are counted, since a rate limit holds for it.
@@ -284,6 +303,7 @@
     EndpointNotices m_notices;
     Outages m_outages;
     GroupTable m_groups;
+    FullEndpoints m_full;
     std::map<std::string, double, std::less<>> m_slowness;
     TimePoint m_slownessReceived;
     PartTable m_parts;
--- a/routing/load.cc
+++ b/routing/load.cc
@@ -6,8 +6,11 @@
 
 namespace detail {
 
-    // Counts of peers older than this are ignored: ten times the interval at which they are sent.
-    constexpr Millis peerCountsMaxAge { 1000 };
+    // Counts of peers older than this are ignored: 2.5 times the interval at which they are sent. The requests of
+    // a peer that has ended end with it, and no endpoint with room may stay closed for longer than 300 ms.
+    constexpr Millis peerCountsMaxAge { 250 };
+    // Peers that have not been heard for this long are not counted as live: ten intervals.
+    constexpr Millis livePeerMaxAge { 1000 };
     // Reports of endpoints older than this are ignored. It is about the duration of a streamed
     // answer, so the reported requests have ended by then.
     constexpr Millis reportMaxAge { 2000 };
@@ -55,7 +58,16 @@
 size_t LoadTable::livePeerCount(TimePoint now) const
 {
     return static_cast<size_t>(std::count_if(m_peers.begin(), m_peers.end(),
-        [&](const auto& peer) { return now - peer.second.received <= detail::peerCountsMaxAge; }));
+        [&](const auto& peer) { return now - peer.second.received <= detail::livePeerMaxAge; }));
+}
+
+uint32_t LoadTable::peerCount(std::string_view endpoint, TimePoint now) const
+{
+    uint32_t total = 0;
+    for (const auto& [name, peer] : m_peers)
+        if (now - peer.received <= detail::peerCountsMaxAge)
+            total += detail::countOf(peer.counts, endpoint);
+    return total;
 }
 
 Millis LoadTable::countsAge(TimePoint now) const
--- a/routing/load.h
+++ b/routing/load.h
@@ -27,6 +27,9 @@
     // used only while no other instance sends its counts.
     double estimate(std::string_view endpoint, TimePoint) const;
 
+    // Requests in flight at the endpoint of the instances that sent counts recently, without this one's.
+    uint32_t peerCount(std::string_view endpoint, TimePoint) const;
+
     // Requests of this instance in flight.
     uint32_t ownCount(std::string_view endpoint) const;
     const InFlightCounts& ownCounts() const { return m_own; }
