Bound the memory and connections of a process, and cut off what stalls

Clients that send bodies without end brought a process down, since each connection was bounded but not their sum. All HTTP servers of a process now share a budget: an announced body is reserved before it is read, a chunked one as it grows.

--- a/cmd/main.cc
+++ b/cmd/main.cc
@@ -67,6 +67,7 @@
         app.add_option("--max-body", settings.http.maxBodyBytes, "largest request body, in bytes")->check(CLI::Range(1, 3'000'000))->capture_default_str()->group("Limits");
         app.add_option("--max-header", settings.http.maxHeaderBytes, "largest request header, in bytes")->check(CLI::Range(256, 1'000'000))->capture_default_str()->group("Limits");
         app.add_option("--max-connections", settings.http.maxConnections, "largest number of connections from callers")->check(CLI::Range(1, 1'000'000))->capture_default_str()->group("Limits");
+        app.add_option("--memory", settings.memoryMegabytes, "memory that the process may use, in MB, 0 if unknown")->check(CLI::Range(0, 1'000'000))->capture_default_str()->group("Limits");
         addMillisOption(app, "--receive-timeout", settings.http.receiveTimeout, 10, 600'000, "timeout for receiving a request");
         addMillisOption(app, "--queue-timeout", settings.queueTimeout, 0, 60'000, "longest wait for a free endpoint");
         addMillisOption(app, "--default-deadline", settings.defaultDeadline, 1, 3'600'000, "deadline of a request that sets none");
@@ -104,6 +105,7 @@
         app.add_option("--cold-limit", settings.ramp.coldLimit, "most requests at once to a cold endpoint")->check(CLI::Range(1, 100'000))->capture_default_str()->group("Limits");
         app.add_option("--warm-limit", settings.ramp.warmLimit, "most requests at once to a warm endpoint")->check(CLI::Range(1, 100'000))->capture_default_str()->group("Limits");
         app.add_option("--warm-after", settings.ramp.warmAfter, "completed requests until a cold endpoint is warm")->check(CLI::Range(1, 1'000'000))->capture_default_str()->group("Limits");
+        app.add_option("--memory", settings.memoryMegabytes, "memory that the process may use, in MB, 0 if unknown")->check(CLI::Range(0, 1'000'000))->capture_default_str()->group("Limits");
         addMillisOption(app, "--probe-interval", settings.probeInterval, 10, 60'000, "time between probes of the endpoint");
         addMillisOption(app, "--probe-timeout", settings.probeTimeout, 10, 60'000, "timeout of a probe");
         addMillisOption(app, "--platform-timeout", settings.platformTimeout, 10, 60'000, "timeout of a call to the platform");
@@ -125,6 +127,7 @@
         app.add_option("--steps-per-agreement", settings.stepsPerAgreement, "engine steps covered by one agreement of the ranks")->check(CLI::Range(1, 100'000))->capture_default_str()->group("Group");
         app.add_option("--slots-per-rank", settings.slotsPerRank, "experts of one layer that a rank can hold")->check(CLI::Range(1, 4096))->capture_default_str()->group("Group");
         app.add_option("--moves-per-interval", settings.planner.maxMovesPerInterval, "expert copies that the weight store can load per plan interval")->check(CLI::Range(0, 1'000'000))->capture_default_str()->group("Group");
+        app.add_option("--memory", settings.memoryMegabytes, "memory that the process may use, in MB, 0 if unknown")->check(CLI::Range(0, 1'000'000))->capture_default_str()->group("Limits");
         addMillisOption(app, "--plan-interval", settings.planInterval, 100, 3'600'000, "time between two runs of the placement planner");
         addMillisOption(app, "--step-timeout", settings.stepTimeout, 100, 600'000, "time after which a step is abandoned if a rank has not answered");
         addMillisOption(app, "--prepare-timeout", settings.prepareTimeout, 100, 3'600'000, "time after which loading a map is abandoned");
--- a/direct/attempt.cc
+++ b/direct/attempt.cc
@@ -1,6 +1,7 @@
 // Sends a request to one endpoint and forwards the answer.
 #include "base/digest.h"
 #include "direct/state.h"
+#include "gateway/async.h"
 #include "platform/engine.h"
 #include "telemetry/log.h"
 
@@ -25,6 +26,8 @@
     // Chunks of events after which an endpoint has begun to answer. A crash at the first of them may
     // still be the request's fault.
     constexpr uint32_t answeringChunks = 2;
+    // How often an answer asks for memory again.
+    constexpr Millis answerMemoryPause { 10 };
     constexpr size_t maxEventBytes = size_t { 256 } << 10;
 
     bool isSuccess(unsigned status)
@@ -114,6 +117,14 @@
     };
     hooks.chunk = [&](std::string_view bytes) -> Task<bool> {
         if (!isStream) {
+            // The endpoint waits meanwhile, since nothing is read from it.
+            while (!responder.holdAnswer(answer.body.size() + bytes.size())) {
+                if (Clock::now() >= job.deadline || job.callerGone) {
+                    metrics.count("orioletrail_answers_abandoned_total", "reason=\"memory\"");
+                    co_return false;
+                }
+                co_await sleepFor(detail::answerMemoryPause);
+            }
             answer.body += bytes;
             co_return answer.body.size() <= detail::maxAnswerBytes;
         }
--- a/direct/direct.cc
+++ b/direct/direct.cc
@@ -2,6 +2,7 @@
 
 #include "direct/state.h"
 #include "gateway/async.h"
+#include "memory/report.h"
 #include "telemetry/log.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -97,6 +98,9 @@
         metrics.countRefusal(refusalReason, Outcome::NotRun);
         return refusalAnswer("", { status, refusalReason, Outcome::NotRun, Millis(0) });
     };
+    limitRetainedMemory();
+    constexpr size_t descriptorsPerCaller = 2;
+    const auto memory = makeMemoryGuard(memorySettingsFor(platform.memoryBytes, platform.maxDescriptors, descriptorsPerCaller), metrics);
     callerServer = std::make_unique<HttpServer>(
         traffic.get_executor(), HttpLimits {}, [this](const HttpRequest& request, Responder& responder) { return handleRequest(request, responder); }, refuseInvalid);
     auto serveAdmin = [this](const HttpRequest& request, Responder& responder) { return serveReadinessOrMetrics(request, responder); };
@@ -107,6 +111,8 @@
     feedServer = std::make_unique<HttpServer>(
         controlIo.get_executor(), HttpLimits {}, [this](const HttpRequest& request, Responder& responder) { return feed->serve(request, responder); },
         [](unsigned status, Reason) { return HttpResponse { status, {}, {} }; });
+    for (HttpServer* server : { callerServer.get(), readinessServer.get(), metricsServer.get(), peerServer.get(), feedServer.get() })
+        server->setMemory(memory);
     PeerExchange::Hooks hooks;
     hooks.ownStatus = [this] { return ownStatus(); };
     hooks.onStatus = [this](PeerStatus status) { onPeerStatus(std::move(status)); };
@@ -163,6 +169,8 @@
     HttpLimits http;
     http.maxHeaderBytes = limits.headerBytes;
     http.maxBodyBytes = limits.bodyBytes;
+    // The request to the endpoint.
+    http.bodyCopies = 1;
     http.receiveTimeout = limits.headerTimeout;
     http.idleTimeout = limits.idleTimeout;
     callerServer->setLimits(http);
--- a/direct/request.cc
+++ b/direct/request.cc
@@ -59,6 +59,7 @@
         co_await refuse(responder, *job, *refusal);
         co_return;
     }
+    responder.setAccount(job->account);
     responder.onClientDisconnect([job] {
         job->callerGone = true;
         if (job->cancelToken)
--- a/direct/sidecar.cc
+++ b/direct/sidecar.cc
@@ -7,6 +7,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "memory/report.h"
+
 namespace orioletrail {
 
 namespace asio = boost::asio;
@@ -68,6 +70,9 @@
     m_server = std::make_unique<HttpServer>(
         m_context.get_executor(), HttpLimits {}, [this](const HttpRequest& request, Responder& responder) { return forward(request, responder); },
         [](unsigned status, Reason) { return HttpResponse { status, {}, {} }; });
+    limitRetainedMemory();
+    constexpr size_t descriptorsPerCaller = 2;
+    m_server->setMemory(makeMemoryGuard(memorySettingsFor(m_platform.memoryBytes, m_platform.maxDescriptors, descriptorsPerCaller), m_metrics));
     if (!m_server->listen(m_platform.address, m_platform.firstPeerPort)) {
         m_lastError = m_server->lastError();
         return false;
--- a/entry/entry.cc
+++ b/entry/entry.cc
@@ -3,6 +3,7 @@
 #include "entry/state.h"
 #include "gateway/async.h"
 #include "membership/peers.h"
+#include "memory/report.h"
 #include "telemetry/log.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -82,10 +83,16 @@
         metrics.countRefusal(reason, Outcome::NotRun);
         return makeRefusalAnswer("", { status, reason, Outcome::NotRun, {} });
     };
+    // The attempt, the encoded message and the decoded JSON.
+    settings.http.bodyCopies = 3;
     callerServer = std::make_unique<HttpServer>(
         trafficIo.get_executor(), settings.http, [this](const HttpRequest& request, Responder& responder) { return handleRequest(request, responder); }, refuseMalformed);
     adminServer = std::make_unique<HttpServer>(
         controlIo.get_executor(), HttpLimits {}, [this](const HttpRequest& request, Responder& responder) { return handleAdminRequest(request, responder); }, refuseMalformed);
+    limitRetainedMemory();
+    const auto memory = makeMemoryGuard(memorySettingsFor(settings.memoryMegabytes << 20, 0, 1), metrics);
+    callerServer->setMemory(memory);
+    adminServer->setMemory(memory);
     if (!adminServer->listen(adminHost, adminPort)) {
         reason = "--admin: " + adminServer->lastError();
         return false;
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -44,6 +44,8 @@
     // How long a shutdown waits for requests in progress.
     Millis drainTimeout { 30'000 };
     HttpLimits http;
+    // Memory that the process may use; 0 if unknown.
+    size_t memoryMegabytes = 0;
     FreshnessSettings freshness;
 };
 
--- a/gateway/http.h
+++ b/gateway/http.h
@@ -11,6 +11,8 @@
 
 namespace orioletrail {
 
+class MemoryGuard;
+
 template <class T = void>
 using Task = boost::asio::awaitable<T>;
 
@@ -80,6 +82,13 @@
 
     // Number of the client's connection, unique among all connections that the server has accepted.
     virtual uint64_t connectionNumber() const = 0;
+
+    // Reserves memory for an answer that the handler keeps, in all `bytes` of it so far. Returns false if the process
+    // has none at the moment.
+    virtual bool holdAnswer(size_t bytes) = 0;
+
+    // Names the client account whose request it is, in the accounting of memory.
+    virtual void setAccount(std::string_view) = 0;
 };
 
 using HttpHandler = std::function<Task<>(const HttpRequest&, Responder&)>;
@@ -93,6 +102,8 @@
     Millis idleTimeout { 15'000 };
     // Connections beyond this number are answered with 503 and closed.
     size_t maxConnections = 10'000;
+    // Copies of a body that the handler makes, which are reserved with it.
+    size_t bodyCopies = 0;
 };
 
 // Accepts HTTP/1.1 connections and runs the handler, for one request at a time per connection.
@@ -109,6 +120,10 @@
     // port. On failure, returns std::nullopt and sets lastError().
     std::optional<uint16_t> listen(std::string_view address, uint16_t port);
 
+    // Bounds the memory and number of connections, together with other servers of the process. Call it before
+    // listen().
+    void setMemory(std::shared_ptr<MemoryGuard>);
+
     // Replaces the limits; open connections apply them from their next request on.
     void setLimits(const HttpLimits&);
 
--- a/rank/rank.cc
+++ b/rank/rank.cc
@@ -1,6 +1,7 @@
 #include "rank/rank.h"
 
 #include "gateway/async.h"
+#include "memory/report.h"
 #include "rank/leader.h"
 #include "telemetry/log.h"
 
@@ -138,6 +139,8 @@
     admin = std::make_unique<HttpServer>(
         io.get_executor(), HttpLimits {}, [this](const HttpRequest& request, Responder& responder) { return serveAdmin(request, responder); },
         [](unsigned status, Reason) { return HttpResponse { status, {}, {} }; });
+    limitRetainedMemory();
+    admin->setMemory(makeMemoryGuard(memorySettingsFor(settings.memoryMegabytes << 20, 0, 1), metrics));
     if (!admin->listen(adminHost, adminPort)) {
         reason = "--admin: " + admin->lastError();
         return false;
--- a/rank/rank.h
+++ b/rank/rank.h
@@ -38,6 +38,8 @@
     // Experts of one layer that a rank can hold.
     uint32_t slotsPerRank = 2;
     LeaseSettings lease;
+    // Memory that the process may use; 0 if unknown.
+    size_t memoryMegabytes = 0;
     PlannerSettings planner;
 };
 
--- a/sidecar/sidecar.cc
+++ b/sidecar/sidecar.cc
@@ -1,6 +1,7 @@
 #include "sidecar/sidecar.h"
 
 #include "gateway/async.h"
+#include "memory/report.h"
 #include "sidecar/state.h"
 #include "telemetry/log.h"
 
@@ -103,6 +104,8 @@
     admin = std::make_unique<HttpServer>(
         controlIo.get_executor(), HttpLimits {}, [this](const HttpRequest& request, Responder& responder) { return serveAdmin(request, responder); },
         [](unsigned status, Reason) { return HttpResponse { status, {}, {} }; });
+    limitRetainedMemory();
+    admin->setMemory(makeMemoryGuard(memorySettingsFor(settings.memoryMegabytes << 20, 0, 1), metrics));
     if (!admin->listen(adminHost, adminPort)) {
         reason = "--admin: " + admin->lastError();
         return false;
--- a/sidecar/sidecar.h
+++ b/sidecar/sidecar.h
@@ -29,6 +29,8 @@
     // Longest time after SIGTERM or SIGINT to wait for attempts in progress.
     Millis drainTimeout { 30'000 };
     FreshnessSettings freshness;
+    // Memory that the process may use; 0 if unknown.
+    size_t memoryMegabytes = 0;
 };
 
 // Passes requests of entries to one endpoint, within the concurrency limit that it can bear.
