Refuse requests that no endpoint's memory can hold

A prompt that fills an engine's whole memory can never run there. Such a request waited or was sent until it failed. It is now refused at once with 503, no-capacity, without Retry-After.

--- a/dispatch/dispatcher-test.cc
+++ b/dispatch/dispatcher-test.cc
@@ -33,6 +33,7 @@
     engine.stepMs = 4.55;
     engine.perSequenceMs = 0.905;
     engine.expertShare = 0.85;
+    engine.memoryTokens = 16'000;
     model.engine = engine;
     ServiceProfile plain;
     plain.name = "plain";
@@ -306,3 +307,18 @@
     dispatcher.onEnded("model", "model3", start);
     CHECK(dispatcher.dispatch(again, start).endpoint == "model3");
 }
+
+TEST_CASE("a request that no endpoint's memory can hold is refused at once and not told to come back")
+{
+    const DirectorySnapshot snapshot = makeSnapshot(2, 4);
+    Dispatcher dispatcher("z1");
+    dispatcher.setSnapshot(snapshot);
+    DispatchRequest request = requestFor(snapshot, "/stream/1");
+    request.size = { 16'000, 100, 50 };
+    const DispatchDecision refused = dispatcher.dispatch(request, start);
+    CHECK(refused.kind == DispatchKind::Refused);
+    CHECK(refused.reason == Reason::NoCapacity);
+    CHECK(refused.retryAfter == Millis(0));
+    request.size.promptTokens = 15'999;
+    CHECK(dispatcher.dispatch(request, start).kind == DispatchKind::Placed);
+}
--- a/dispatch/dispatcher.cc
+++ b/dispatch/dispatcher.cc
@@ -1,6 +1,7 @@
 #include "dispatch/dispatcher.h"
 
 #include "base/digest.h"
+#include "cost/request-cost.h"
 
 #include <algorithm>
 #include <cmath>
@@ -428,6 +429,10 @@
 
 DispatchDecision Dispatcher::dispatch(const DispatchRequest& request, TimePoint now)
 {
+    const ServiceProfile* service = m_snapshot.catalog ? m_snapshot.catalog->findService(request.service) : nullptr;
+    // It would never run, so the caller is not told to come back.
+    if (service && service->engine && exceedsMemory(*service->engine, request.size))
+        return { DispatchKind::Refused, {}, Millis(0), Reason::NoCapacity };
     std::vector<const EndpointRecord*> candidates;
     const PlaceChoice choice = choosePlacement(request, now, candidates);
     const WaitQueue& queue = m_services[request.service].queue;
