--- a/direct/peers-test.cc
+++ b/direct/peers-test.cc
@@ -41,6 +41,7 @@
     status.stopping = true;
     status.offer = LeadershipOffer { { "entry-2", 5 }, { 65'600, 131'072 } };
     status.slowness = { { "e-1", 4.5 } };
+    status.groups = { { "g-1", "model", 17'000'000'000'000'000'005U, GroupState::Held, 1.25, { { "e-1", 1'733'000'000'000 }, { "e-2", 0 } } } };
     status.crashes.crashes = { { 7, { { 17'000'000'000'000'000'001U, { 8, 9 } } }, { 9 }, Millis(40) } };
     status.crashes.refused = { { 8, Millis(500) } };
     const auto read = decodePeerStatus(encodePeerStatus(status));
@@ -76,6 +77,10 @@
     CHECK(read->stopping);
     CHECK(read->offer == status.offer);
     CHECK(read->slowness == status.slowness);
+    CHECK(read->groups == status.groups);
+    PeerStatus follower = status;
+    follower.leading = false;
+    CHECK(decodePeerStatus(encodePeerStatus(follower))->groups.empty());
     REQUIRE(read->crashes.crashes.size() == 1);
     CHECK(read->crashes.crashes[0].id == 7);
     CHECK(read->crashes.crashes[0].age == Millis(40));
