--- a/direct/attempt.cc
+++ b/direct/attempt.cc
@@ -374,7 +374,8 @@
 {
     const std::string& endpoint = job.tried.back();
     const TimePoint now = Clock::now();
-    onRejected(endpoint, head);
+    if (const auto target = targets.find(endpoint); target != targets.end())
+        onRejected(*target->second, head);
     const bool wasSent = callResult.failure != HttpFailure::Connect;
     if (!wasSent && job.isRetryCharged)
         retries.refund(job.service, now);
--- a/direct/peer-messages.cc
+++ b/direct/peer-messages.cc
@@ -195,12 +195,14 @@
         metrics.count("orioletrail_full_messages_total");
 }
 
-void DirectEntry::State::onRejected(const std::string& endpoint, const EndpointHead& head)
+void DirectEntry::State::onRejected(const Target& target, const EndpointHead& head)
 {
+    const std::string& endpoint = target.record.id;
+    const bool isOwnFault = head.failedEndpoint.empty() || head.failedEndpoint == target.record.host + ':' + std::to_string(target.record.port);
     // Endpoints reject for other reasons too: a pause, a limit in requests per second, another endpoint's failure,
     // or another one that was meant. One that states free slots is not full.
     const bool hasSlots = head.load && head.load->running + head.load->waiting < head.load->slots;
-    if (!head.notRun || head.wrongEndpoint || head.isLeaving || head.pause > Millis(0) || head.requestsPerSecond > 0 || !head.failedEndpoint.empty() || hasSlots)
+    if (!head.notRun || head.wrongEndpoint || head.isLeaving || head.pause > Millis(0) || head.requestsPerSecond > 0 || !isOwnFault || hasSlots)
         return;
     const auto load = head.load ? std::optional(head.load->running + head.load->waiting) : std::nullopt;
     const bool isNews = dispatcher->onRejected(endpoint, load, Clock::now());
--- a/dispatch/dispatcher-test.cc
+++ b/dispatch/dispatcher-test.cc
@@ -33,6 +33,7 @@
     engine.stepMs = 4.55;
     engine.perSequenceMs = 0.905;
     engine.expertShare = 0.85;
+    engine.memoryTokens = 16'000;
     model.engine = engine;
     ServiceProfile plain;
     plain.name = "plain";
@@ -332,3 +333,18 @@
     single.setGroups({ { "a", "model", 1, GroupState::Open, 0, { { "model0", 0 }, { "model1", 0 } } } }, start);
     CHECK_FALSE(single.onRankEnded("model1", start, start));
 }
+
+TEST_CASE("a request that no endpoint's memory can hold is refused at once and not told to come back")
+{
+    const DirectorySnapshot snapshot = makeSnapshot(2, 4);
+    Dispatcher dispatcher("z1");
+    dispatcher.setSnapshot(snapshot);
+    DispatchRequest request = requestFor(snapshot, "/stream/1");
+    request.size = { 16'000, 100, 50 };
+    const DispatchDecision refused = dispatcher.dispatch(request, start);
+    CHECK(refused.kind == DispatchKind::Refused);
+    CHECK(refused.reason == Reason::NoCapacity);
+    CHECK(refused.retryAfter == Millis(0));
+    request.size.promptTokens = 15'999;
+    CHECK(dispatcher.dispatch(request, start).kind == DispatchKind::Placed);
+}
