--- a/routing/placer-test.cc
+++ b/routing/placer-test.cc
@@ -208,9 +208,12 @@
 TEST_CASE("a saving decides only where the request starts no later, and makes no endpoint hot")
 {
     std::array options { option("a", 3), option("b", 3), option("c", 4) };
-    options[1].saving = 0.2;
+    options[1].saving = 0.8;
     CHECK(placeRequest(options, "z1").index == 1);
     CHECK(placeRequest(options, "z1").indexWithoutSaving == 0);
+    // So small a saving leaves the choice to the preference.
+    options[1].saving = 0.2;
+    CHECK(placeRequest(options, "z1").index == 0);
     options[1].saving = 0;
     options[2].saving = 0.9;
     CHECK(placeRequest(options, "z1").index == 0);
--- a/routing/placer.cc
+++ b/routing/placer.cc
@@ -23,6 +23,10 @@
     // endpoint, with the new request, further above the mean than this.
     constexpr double savingLoadBound = 1.25;
 
+    // A smaller saving does not decide: the preference, which keeps entries from choosing alike, is worth more
+    // than it saves.
+    constexpr double minSaving = preferenceWeight;
+
     // The part of the cost that delays the start of the request. The preference only spreads requests.
     double startCost(const PlaceOption& option, std::string_view zone)
     {
@@ -59,7 +63,7 @@
         double bestCost = placeCost(without, zone) - without.saving;
         for (size_t index = 0; index < options.size(); ++index) {
             const PlaceOption& option = options[index];
-            if (option.saving <= 0 || !isUsable(option) || option.load + 1 > loadBound)
+            if (option.saving - without.saving < minSaving || !isUsable(option) || option.load + 1 > loadBound)
                 continue;
             if (option.avoided != without.avoided || option.tried != without.tried || startCost(option, zone) - option.saving > latestStart)
                 continue;
@@ -104,7 +108,7 @@
                 best.failure = PlaceFailure::AllFull;
             continue;
         }
-        hasSaving = hasSaving || option.saving > 0;
+        hasSaving = hasSaving || option.saving >= detail::minSaving;
         const double cost = placeCost(option, zone);
         if (best.failure != PlaceFailure::None || cost < bestCost) {
             best = { PlaceFailure::None, index, index };
