--- a/direct/peer-messages.cc
+++ b/direct/peer-messages.cc
@@ -200,14 +200,14 @@
     const std::string& endpoint = target.record.id;
     const bool isOwnFault = head.failedEndpoint.empty() || head.failedEndpoint == target.record.host + ':' + std::to_string(target.record.port);
     // Endpoints reject for other reasons too: a pause, a limit in requests per second, another endpoint's failure,
-    // or another one that was meant. One that states free slots is not full.
-    const bool hasSlots = head.load && head.load->running + head.load->waiting < head.load->slots;
-    if (!head.notRun || head.wrongEndpoint || head.isLeaving || head.pause > Millis(0) || head.requestsPerSecond > 0 || !isOwnFault || hasSlots)
+    // or another one that was meant. Only one that states that its slots are taken is full.
+    const bool isFull = head.load && head.load->running + head.load->waiting >= head.load->slots;
+    if (!head.notRun || head.wrongEndpoint || head.isLeaving || head.pause > Millis(0) || head.requestsPerSecond > 0 || !isOwnFault || !isFull)
         return;
-    const auto load = head.load ? std::optional(head.load->running + head.load->waiting) : std::nullopt;
+    const uint32_t load = head.load->running + head.load->waiting;
     const bool isNews = dispatcher->onRejected(endpoint, load, Clock::now());
     metrics.count("orioletrail_full_endpoints_total", "source=\"own\"");
-    log(LogLevel::Info, "endpoint is full", { { "endpoint", endpoint }, { "load", load ? std::to_string(*load) : "" }, { "isNews", isNews ? "true" : "false" }, { "fullEndpoints", std::to_string(dispatcher->fullEndpoints(Clock::now())) } });
+    log(LogLevel::Info, "endpoint is full", { { "endpoint", endpoint }, { "load", std::to_string(load) }, { "isNews", isNews ? "true" : "false" }, { "fullEndpoints", std::to_string(dispatcher->fullEndpoints(Clock::now())) } });
     tellFull();
 }
 
