Tell engines the priority of a request where routes differ

Engines admit requests with a lower X-Request-Priority first and treat one without it as priority 5, so a urgent request waited at an engine behind less urgent ones. The direct entry now sends the request's priority (0 to 9, the account's if it has one) to engines of services whose routes have different priorities. Other services get no header, and a caller's own is dropped as before.

directory-test and platform-test pass.

--- a/direct/attempt.cc
+++ b/direct/attempt.cc
@@ -84,6 +84,9 @@
     envelope.account = job.account;
     envelope.timeLeft = timeLeft;
     envelope.lastEventId = job.streamBegun ? job.events.lastId() : job.caller.lastEventId;
+    const ServiceProfile* service = job.catalog->findService(job.service);
+    if (service && service->engine && job.catalog->hasRoutePriorities(job.service))
+        envelope.priority = job.priority;
     HttpCall call;
     call.request = makeEndpointRequest(request, envelope);
     call.timeout = timeLeft + detail::deadlineMargin;
--- a/directory/catalog-test.cc
+++ b/directory/catalog-test.cc
@@ -47,3 +47,23 @@
     CHECK(catalog.hasAccounts());
     CHECK_FALSE(CatalogBuilder().build().hasAccounts());
 }
+
+TEST_CASE("priorities of a service are those of its routes and, for the order of requests, of accounts")
+{
+    Route urgent = makeRoute("a.example", "/urgent/", "model");
+    urgent.priority = 0;
+    Route batch = makeRoute("a.example", "/batch/", "model");
+    batch.priority = 2;
+    Route other = makeRoute("a.example", "/other/", "plain");
+    CatalogBuilder builder;
+    builder.route(urgent).route(batch).route(other);
+    const Catalog catalog = CatalogBuilder(builder).build();
+    CHECK(catalog.hasRoutePriorities("model"));
+    CHECK_FALSE(catalog.hasRoutePriorities("plain"));
+    CHECK_FALSE(catalog.hasPriorities("plain"));
+    CHECK_FALSE(catalog.hasPriorities("unknown"));
+    const std::vector<std::string> keys { "k1" };
+    const Catalog withAccount = std::move(builder.account({ "bakery", 3 }, keys)).build();
+    CHECK_FALSE(withAccount.hasRoutePriorities("plain"));
+    CHECK(withAccount.hasPriorities("plain"));
+}
--- a/directory/catalog.cc
+++ b/directory/catalog.cc
@@ -42,6 +42,20 @@
     return {};
 }
 
+bool Catalog::hasRoutePriorities(std::string_view service) const
+{
+    const auto* priorities = detail::findValue(m_routePriorities, service);
+    return priorities && priorities->size() > 1;
+}
+
+bool Catalog::hasPriorities(std::string_view service) const
+{
+    const auto* priorities = detail::findValue(m_routePriorities, service);
+    if (!priorities)
+        return false;
+    return priorities->size() > 1 || std::any_of(m_accountPriorities.begin(), m_accountPriorities.end(), [&](int priority) { return priority != *priorities->begin(); });
+}
+
 size_t Catalog::routeCount() const
 {
     size_t count = 0;
@@ -70,6 +84,8 @@
 
 CatalogBuilder& CatalogBuilder::route(Route route)
 {
+    for (const RouteTarget& target : route.targets)
+        m_catalog.m_routePriorities[target.service].insert(route.priority);
     m_catalog.m_routes[route.host].push_back(std::move(route));
     return *this;
 }
@@ -84,6 +100,8 @@
 CatalogBuilder& CatalogBuilder::account(const AccountProfile& account, std::span<const std::string> keys)
 {
     m_catalog.m_hasAccounts = true;
+    if (account.priority)
+        m_catalog.m_accountPriorities.insert(*account.priority);
     for (const std::string& key : keys)
         m_catalog.m_accountsByKey.insert_or_assign(key, account);
     return *this;
--- a/directory/catalog.h
+++ b/directory/catalog.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 
 namespace orioletrail {
@@ -134,6 +135,11 @@
     // Returns an API key of the account of this name, or an empty view.
     std::string_view findAccountKey(std::string_view name) const;
 
+    // True if routes that lead to the service have different priorities.
+    bool hasRoutePriorities(std::string_view service) const;
+    // The same, or an account has another priority than one of these routes.
+    bool hasPriorities(std::string_view service) const;
+
     // True if the configuration has accounts. Callers then need an API key on routes that are not public.
     bool hasAccounts() const { return m_hasAccounts; }
 
@@ -152,6 +158,9 @@
     RoutesByHost m_routes;
     std::map<std::string, ServiceProfile, std::less<>> m_services;
     std::map<std::string, AccountProfile, std::less<>> m_accountsByKey;
+    // Priorities of the routes that lead to each service, and of all accounts that have one.
+    std::map<std::string, std::set<int>, std::less<>> m_routePriorities;
+    std::set<int> m_accountPriorities;
 };
 
 // Collects the parts of a catalog.
