End the clients of the review's cases before the processes they use

Replicas and entries that had been started again ended with the thread that started them, and a few requests at the end of a run counted as lost.

--- a/review/standins-2/crashing-request.cpp
+++ b/review/standins-2/crashing-request.cpp
@@ -41,10 +41,11 @@
     // In touch: no start in the last stable window.
     sleepMs(stableWindowMs + 500);
     std::atomic<bool> isOver { false };
+    std::atomic<bool> haveClientsEnded { false };
     // The platform starts a crashed replica again.
     std::thread supervisor([&] {
         std::map<std::string, int64_t> downSince;
-        while (!isOver) {
+        while (!haveClientsEnded) {
             for (const std::string& replica : replicas) {
                 if (deployment.isReplicaRunning(replica))
                     downSince.erase(replica);
@@ -80,9 +81,11 @@
         sleepMs(roundMs - (now() - began));
     }
     isOver = true;
-    supervisor.join();
+    // Replicas end with the thread that started them again, so the clients end first.
     for (std::thread& other : others)
         other.join();
+    haveClientsEnded = true;
+    supervisor.join();
     record.line("ordinary orders: " + std::to_string(sent) + " sent, " + std::to_string(answered) + " answered with success");
     std::vector<int64_t> crashes;
     int retries = 0;
--- a/review/standins-2/forgotten-crashes.cpp
+++ b/review/standins-2/forgotten-crashes.cpp
@@ -39,9 +39,10 @@
         return 2;
     sleepMs(stableWindowMs + 500);
     std::atomic<bool> isOver { false };
+    std::atomic<bool> haveClientsEnded { false };
     std::thread supervisor([&] {
         std::map<std::string, int64_t> downSince;
-        while (!isOver) {
+        while (!haveClientsEnded) {
             for (const std::string& replica : replicas) {
                 if (deployment.isReplicaRunning(replica))
                     downSince.erase(replica);
@@ -98,9 +99,11 @@
             sleepMs(4000);
         }
     isOver = true;
-    supervisor.join();
+    // Replicas end with the thread that started them again, so the clients end first.
     for (std::thread& other : others)
         other.join();
+    haveClientsEnded = true;
+    supervisor.join();
     std::map<std::string, bool> isAnswered;
     int cut = 0;
     const auto events = deployment.events();
--- a/review/standins-2/trace-with-body.cpp
+++ b/review/standins-2/trace-with-body.cpp
@@ -38,10 +38,11 @@
         return 2;
     sleepMs(3500);
     std::atomic<bool> isOver { false };
+    std::atomic<bool> haveClientsEnded { false };
     std::map<int, int> ends;
     // The platform starts a process that has ended again.
     std::thread supervisor([&] {
-        while (!isOver) {
+        while (!haveClientsEnded) {
             for (const auto& [entry, zone] : entries) {
                 if (deployment.entry(entry).isRunning())
                     continue;
@@ -93,6 +94,8 @@
     isOver = true;
     for (std::thread& thread : threads)
         thread.join();
+    // Entries end with the thread that started them again, so the clients end first.
+    haveClientsEnded = true;
     supervisor.join();
     for (const auto& [status, count] : answers)
         record.line("ordinary clients got " + (status ? std::to_string(status) : std::string("no answer")) + ": " + std::to_string(count));
