Percent-encode the names of objects in the targets of calls to the store

Seen by callers: after a restart of all processes almost no request was served while an entry of another writer stood in a list of more than one page. Each entry refused with "no-configuration", or knew only the endpoints of the first pages.

Cause: a list goes on after the last name of a page, which was written into the query as it is. With &, +, #, % or a blank in it the store got another name, or a target that it could not read: the list failed, or asked for the same page up to 10,000 times. Names in the paths of single objects had the same fault, and what feeds other entries took a part of a name for a parameter.

Ruled out: the content of the entry, which is read by itself since an earlier incident; the list fails before the content of the second page is seen.

--- a/fakes/platform.cc
+++ b/fakes/platform.cc
@@ -1,5 +1,7 @@
 #include "fakes/platform.h"
 
+#include "gateway/url.h"
+
 #include <algorithm>
 #include <boost/json.hpp>
 #include <charconv>
@@ -36,10 +38,13 @@
         uint64_t revisionBefore = 0;
     };
 
-    ObjectPath parsePath(std::string_view path)
+    // Nothing if an escape is malformed.
+    std::optional<ObjectPath> parsePath(std::string_view path)
     {
         const size_t slash = std::min(path.find('/'), path.size());
-        return { std::string(path.substr(0, slash)), std::string(path.substr(std::min(slash + 1, path.size()))) };
+        const auto kind = percentDecode(path.substr(0, slash));
+        const auto name = percentDecode(path.substr(std::min(slash + 1, path.size())));
+        return kind && name ? std::optional(ObjectPath { *kind, *name }) : std::nullopt;
     }
 
     uint64_t parseNumber(std::string_view text)
@@ -96,15 +101,17 @@
             co_await sleepFor(fault == "slow" ? m_server.faultDelay() : m_latency);
             HttpResponse answer = jsonAnswer(404, {});
             if (request.path().starts_with(objectsPrefix)) {
-                const ObjectPath path = parsePath(request.path().substr(objectsPrefix.size()));
-                if (request.method != "GET")
-                    answer = write(request, path);
-                else if (!path.name.empty())
-                    answer = read(path);
+                const std::optional<ObjectPath> path = parsePath(request.path().substr(objectsPrefix.size()));
+                if (!path)
+                    answer = jsonAnswer(400, {});
+                else if (request.method != "GET")
+                    answer = write(request, *path);
+                else if (!path->name.empty())
+                    answer = read(*path);
                 else if (!request.query("watch").empty())
-                    answer = co_await watch(request, path);
+                    answer = co_await watch(request, *path);
                 else
-                    answer = list(request, path);
+                    answer = list(request, *path);
             }
             answer.headers.emplace_back("Store-Era", std::to_string(m_era));
             if (fault == "drop") {
@@ -181,8 +188,11 @@
             constexpr size_t pageSize = 500;
             ++m_reads;
             const ObjectMap& kind = m_objectsByKind[path.kind];
+            const auto after = percentDecodeQuery(request.query("after"));
+            if (!after)
+                return jsonAnswer(400, {});
             json::array items;
-            auto at = kind.upper_bound(request.query("after"));
+            auto at = kind.upper_bound(*after);
             for (; at != kind.end() && items.size() < pageSize; ++at)
                 if (!at->second.deleted)
                     items.push_back(objectJson(at->first, at->second));
--- a/tests/direct-cluster.cc
+++ b/tests/direct-cluster.cc
@@ -1,5 +1,6 @@
 #include "tests/direct-cluster.h"
 
+#include "gateway/url.h"
 #include "routing/placer.h"
 
 #include <boost/json.hpp>
@@ -196,7 +197,7 @@
     body["metadata"] = std::move(metadata);
     body["spec"] = std::move(content);
     const std::string base = "/orioletrail/objects/" + kind;
-    HttpResult result = callOnce(localAddress(m_basePort), { exists ? "PUT" : "POST", exists ? base + '/' + name : base, {}, json::serialize(body) });
+    HttpResult result = callOnce(localAddress(m_basePort), { exists ? "PUT" : "POST", exists ? base + '/' + percentEncode(name) : base, {}, json::serialize(body) });
     if (result.status == 404)
         result = callOnce(localAddress(m_basePort), { "POST", base, {}, json::serialize(body) });
     exists = result.status == 200 ? 1 : 0;
@@ -205,7 +206,7 @@
 void DirectCluster::removeObject(const std::string& kind, const std::string& name)
 {
     m_objectExists.erase(kind + '/' + name);
-    callOnce(localAddress(m_basePort), { "DELETE", "/orioletrail/objects/" + kind + '/' + name, {}, {} });
+    callOnce(localAddress(m_basePort), { "DELETE", "/orioletrail/objects/" + kind + '/' + percentEncode(name), {}, {} });
 }
 
 void DirectCluster::restoreStore(Millis age)
