Take only a status that HTTP has for an answer

Seen by callers: an endpoint in trouble sent the status 000. Its answer was skipped as an interim one, and the caller waited until its deadline and got 504, or got what the body held, if that was an answer. A status of 600 or more was passed on.

Cause: the parser takes any three digits, and everything below 200 counted as interim.

Change: the client, through which all answers of endpoints, engines, peers and the store come, ends the call if the status is not 100 to 599, or is 101, which no request asks for. The attempt may have run; an idempotent one is sent elsewhere. Other versions than HTTP/1.0 and 1.1 were refused already; that test is kept.

--- a/gateway/client-test.cc
+++ b/gateway/client-test.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
+#include <random>
 
 using namespace orioletrail;
 namespace asio = boost::asio;
@@ -366,3 +367,166 @@
     CHECK(result.failure == HttpFailure::BadResponse);
     CHECK(server.sentBytes() < maxSentBytes);
 }
+
+namespace {
+
+// A test server that answers each connection with the given bytes, and then closes it or leaves it open.
+class RawServer {
+public:
+    explicit RawServer(asio::io_context& context)
+        : m_acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+    {
+        asio::co_spawn(context, acceptLoop(), asio::detached);
+    }
+
+    enum class End { Open,
+        Close,
+        Reset };
+
+    uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+
+    // Answers further connections in this way.
+    void answerWith(std::string bytes, End end = End::Open)
+    {
+        m_answer = std::move(bytes);
+        m_end = end;
+    }
+
+    void stop()
+    {
+        m_acceptor.close();
+        for (const auto& socket : m_open)
+            socket->close();
+    }
+
+private:
+    Task<> acceptLoop()
+    {
+        while (true) {
+            error_code error;
+            auto socket = std::make_shared<tcp::socket>(co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error)));
+            if (error)
+                co_return;
+            asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    Task<> serve(std::shared_ptr<tcp::socket> socket)
+    {
+        std::array<char, 4096> buffer {};
+        error_code error;
+        co_await socket->async_read_some(asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error));
+        const std::string answer = m_answer;
+        co_await asio::async_write(*socket, asio::buffer(answer), asio::redirect_error(asio::use_awaitable, error));
+        if (m_end == End::Open) {
+            m_open.push_back(std::move(socket));
+            co_return;
+        }
+        if (m_end == End::Reset)
+            socket->set_option(asio::socket_base::linger(true, 0), error);
+        socket->close(error);
+    }
+
+    tcp::acceptor m_acceptor;
+    std::string m_answer;
+    End m_end = End::Open;
+    std::vector<std::shared_ptr<tcp::socket>> m_open;
+};
+
+// Runs `calls`, which use the function that it is given to get the result of one request that is answered with these
+// bytes.
+using RawCall = std::function<Task<HttpResult>(std::string bytes, RawServer::End end)>;
+
+void withRawServer(const std::function<Task<>(RawCall)>& calls)
+{
+    asio::io_context context;
+    RawServer server(context);
+    HttpClient client(context.get_executor(), "127.0.0.1", server.port());
+    bool hasEnded = false;
+    auto call = [&](std::string bytes, RawServer::End end) -> Task<HttpResult> {
+        server.answerWith(std::move(bytes), end);
+        HttpCall request = callWithId("a");
+        request.allowReuse = false;
+        request.timeout = Millis(300);
+        co_return co_await client.call(std::move(request));
+    };
+    auto run = [&]() -> Task<> {
+        co_await calls(call);
+        server.stop();
+        hasEnded = true;
+    };
+    asio::co_spawn(context, run(), asio::detached);
+    context.run_for(std::chrono::seconds(60));
+    CHECK(hasEnded);
+}
+
+std::string randomBytes(std::mt19937& random, size_t mostBytes)
+{
+    std::string bytes;
+    for (size_t length = std::uniform_int_distribution<size_t>(1, mostBytes)(random); length; --length)
+        bytes += static_cast<char>(std::uniform_int_distribution<int>(0, 255)(random));
+    return bytes;
+}
+
+bool isDigits(std::string_view text)
+{
+    return !text.empty() && text.find_first_not_of("0123456789") == std::string_view::npos;
+}
+
+} // namespace
+
+TEST_CASE("only an answer with a status that HTTP has is an answer")
+{
+    withRawServer([](RawCall call) -> Task<> {
+        const auto check = [&](std::string status) -> Task<> {
+            CAPTURE(status);
+            std::string answer = "HTTP/1.1 " + status + " Reason\r\nX-Request-Id: a\r\nContent-Length: 0\r\n\r\n";
+            // An interim answer is followed by the final one.
+            const bool isInterim = status.size() == 3 && isDigits(status) && status[0] == '1' && status != "101";
+            const bool isFinal = status.size() == 3 && isDigits(status) && status[0] >= '2' && status[0] <= '5';
+            if (isInterim)
+                answer += responseTo("a", "final");
+            const HttpResult result = co_await call(answer, RawServer::End::Open);
+            CHECK(result.failure == (isInterim || isFinal ? HttpFailure::None : HttpFailure::BadResponse));
+            if (isFinal)
+                CHECK(std::to_string(result.status) == status);
+            if (isInterim)
+                CHECK(result.body == "final");
+        };
+        for (int status = 0; status < 1000; ++status) {
+            std::string digits = std::to_string(1000 + status).substr(1);
+            co_await check(std::move(digits));
+        }
+        std::mt19937 random(49);
+        for (int round = 0; round < 300; ++round) {
+            std::string bytes = randomBytes(random, 6);
+            // The end of a line may leave a head that is never complete.
+            if (bytes.find_first_of("\r\n") == std::string::npos)
+                co_await check(std::move(bytes));
+        }
+    });
+}
+
+TEST_CASE("the body of an answer whose status HTTP does not have is no answer either")
+{
+    withRawServer([](RawCall call) -> Task<> {
+        const std::string inner = responseTo("a", "inner");
+        for (const char* status : { "000", "099", "101", "600", "999" }) {
+            CAPTURE(status);
+            std::string answer = "HTTP/1.1 " + std::string(status) + " x\r\nX-Request-Id: a\r\nContent-Length: " + std::to_string(inner.size()) + "\r\n\r\n" + inner;
+            CHECK((co_await call(std::move(answer), RawServer::End::Open)).failure == HttpFailure::BadResponse);
+        }
+    });
+}
+
+TEST_CASE("an answer in another version than 1.0 or 1.1 is no answer")
+{
+    withRawServer([](RawCall call) -> Task<> {
+        for (const char* version : { "HTTP/0.9", "HTTP/1.0", "HTTP/1.1", "HTTP/1.2", "HTTP/2.0", "HTTP/9.9", "http/1.1", "HTTP/1.1 ", "HTTP/11", "HTTP/1,1", "ICY" }) {
+            CAPTURE(version);
+            std::string answer = std::string(version) + " 200 OK\r\nX-Request-Id: a\r\nContent-Length: 0\r\n\r\n";
+            const bool isKnown = version == std::string_view("HTTP/1.0") || version == std::string_view("HTTP/1.1");
+            CHECK((co_await call(std::move(answer), RawServer::End::Open)).failure == (isKnown ? HttpFailure::None : HttpFailure::BadResponse));
+        }
+    });
+}
--- a/gateway/client.cc
+++ b/gateway/client.cc
@@ -39,6 +39,8 @@
     constexpr Millis listenCheckPause { 10 };
     // Limits what one element of a response may take, such as its head, a chunk header or the trailer.
     constexpr size_t maxElementBytes = 64 * 1024;
+    constexpr unsigned switchingProtocols = 101;
+    constexpr unsigned firstFinalStatus = 200;
 
     // A connection, with bytes read ahead and its idle time.
     struct PooledStream {
@@ -204,8 +206,19 @@
         return field == message.end() ? std::string_view() : std::string_view(field->value());
     }
 
+    using ResponseParser = http::response_parser<http::buffer_body>;
+
+    // Whether the status is that of an answer that the request asked for. The parser takes any three digits.
+    bool isValidHead(const ResponseParser& parser)
+    {
+        constexpr unsigned firstStatus = 100;
+        constexpr unsigned lastStatus = 599;
+        const unsigned status = parser.get().result_int();
+        return status >= firstStatus && status <= lastStatus && status != switchingProtocols;
+    }
+
     // Reads the body and passes each block of data to the chunk hook as it arrives.
-    Task<error_code> readBody(PooledStream& stream, http::response_parser<http::buffer_body>& parser, const HttpStreamHooks& hooks)
+    Task<error_code> readBody(PooledStream& stream, ResponseParser& parser, const HttpStreamHooks& hooks)
     {
         std::vector<char> buffer(readBufferBytes);
         while (!parser.is_done()) {
@@ -225,7 +238,7 @@
 
     // Reads up to the headers of the response that belongs to the request; skips interim responses
     // and responses to other requests. `requestId` is empty if the request has no id.
-    Task<error_code> readHead(PooledStream& stream, std::optional<http::response_parser<http::buffer_body>>& parser, const HttpCall& call, const std::string& requestId, HttpResult& result)
+    Task<error_code> readHead(PooledStream& stream, std::optional<ResponseParser>& parser, const HttpCall& call, const std::string& requestId, HttpResult& result)
     {
         HttpStreamHooks discardHooks;
         size_t discarded = 0;
@@ -237,8 +250,10 @@
             co_await http::async_read_header(stream.m_stream, stream.m_buffer, *parser, asio::redirect_error(asio::use_awaitable, error));
             if (error)
                 co_return error;
+            if (!isValidHead(*parser))
+                co_return http::error::bad_status;
             // Interim responses (RFC 9110, section 15.2) precede the final one.
-            if (parser->get().result_int() < 200)
+            if (parser->get().result_int() < firstFinalStatus)
                 continue;
             const std::string_view named = requestIdOf(parser->get());
             if (named.empty() && !requestId.empty() && stream.m_hasResponse)
@@ -257,7 +272,7 @@
 
     // Sends the request and passes the response to the hooks.
     Task<error_code> exchange(PooledStream& stream, const http::request<http::string_body>& message,
-        std::optional<http::response_parser<http::buffer_body>>& parser, const HttpCall& call, const HttpStreamHooks& hooks, HttpResult& result)
+        std::optional<ResponseParser>& parser, const HttpCall& call, const HttpStreamHooks& hooks, HttpResult& result)
     {
         error_code error;
         co_await http::async_write(stream.m_stream, message, asio::redirect_error(asio::use_awaitable, error));
@@ -271,7 +286,7 @@
         co_return co_await readBody(stream, *parser, hooks);
     }
 
-    BodyFraming framingOf(const std::optional<http::response_parser<http::buffer_body>>& parser)
+    BodyFraming framingOf(const std::optional<ResponseParser>& parser)
     {
         if (!parser || !parser->is_header_done())
             return BodyFraming::Unknown;
@@ -327,7 +342,7 @@
     if (idHash)
         stream->m_requestIds.push_back(*idHash);
     const auto message = detail::toBeastRequest(std::move(call.request), state->m_endpoint);
-    std::optional<http::response_parser<http::buffer_body>> parser;
+    std::optional<detail::ResponseParser> parser;
     stream->m_stream.expires_after(call.timeout);
     const error_code error = co_await detail::exchange(*stream, message, parser, call, hooks, result);
     if (call.token)
