Answer or refuse what a stopping direct entry takes before its grace period ends

Seen by callers: in a planned stop requests that came late were taken and passed on, and at the end of the grace period their connections ended without an answer, also those of requests that may not be repeated.

Cause: requests were taken for 3 s after the signal, whatever their length and the grace period. At its end the process stopped at once. With a grace period below 2.2 s the platform killed the process before that.

Decided: drain/plan.h, without a clock or a socket. - A request that is not idempotent is taken only if its deadline lies before the end, since its caller could not repeat it. Any other is taken too if most answers of its route have been short enough of late (mean plus twice the mean deviation, drain/answer-times.h). Refused ones have not run and may go to another entry at once. - The same holds when a request has waited, before each attempt. Those that wait and are too late are refused while there is time. - What is left 0.5 s before the end is ended with an answer: 503 for a request that waited, 502 for one that was sent, which may have run. - Kept connections are read until the end. A refusal says that the request has not run; a connection that closes says nothing to its caller. Then reading stops, and requests of which a part was received still get their refusal. - The load balancer in front is given 2.2 s as before, or less if the grace period is shorter.

--- a/direct/attempt.cc
+++ b/direct/attempt.cc
@@ -122,7 +122,7 @@
         if (!isStream) {
             // The endpoint waits meanwhile, since nothing is read from it.
             while (!responder.holdAnswer(answer.body.size() + bytes.size())) {
-                if (Clock::now() >= job.deadline || job.callerGone) {
+                if (Clock::now() >= job.deadline || job.callerGone || job.isCutOff) {
                     metrics.count("orioletrail_answers_abandoned_total", "reason=\"memory\"");
                     co_return false;
                 }
@@ -186,6 +186,8 @@
         result = classifyAttempt(job, callResult, head, std::move(answer.body));
         if (silenceTimer->attemptCancelled && result.reason == Reason::CallerGone && !job.callerGone)
             result.reason = Reason::EndpointSilent;
+        if (job.isCutOff && result.reason == Reason::CallerGone && !job.callerGone)
+            result.reason = Reason::ShuttingDown;
         if (result.answer) {
             result.answer->status = answer.status;
             result.answer->headers = std::move(answer.headers);
@@ -195,6 +197,7 @@
     }
     if (result.outcome == Outcome::Answered) {
         dispatcher->onAnswered(job.service, Clock::now() - sent, isStream ? job.eventChunks : 0);
+        answerTimes.onAnswered(job.route->name, std::chrono::duration_cast<Millis>(Clock::now() - sent));
         metrics.observeLatency("orioletrail_answer_seconds", Clock::now() - job.received);
         logRequestEnd(job, answer.status, Reason::None, Outcome::Answered);
     }
--- a/direct/direct.cc
+++ b/direct/direct.cc
@@ -26,9 +26,7 @@
     // The load balancer in front checks readiness once per second and stops sending requests after two
     // failed checks.
     constexpr Millis balancerReactionTime { 2200 };
-    // Time kept between the end of the drain and the end of the grace period, when the platform kills
-    // the process.
-    constexpr Millis stopMargin { 500 };
+    constexpr Millis drainCheckInterval { 10 };
 
 } // namespace detail
 
@@ -367,8 +365,11 @@
 
 void DirectEntry::State::shutDown()
 {
-    log(LogLevel::Info, "stopping", { { "instance", platform.instance }, { "inProgress", std::to_string(callerServer->inProgress()) } });
+    log(LogLevel::Info, "stopping", { { "instance", platform.instance }, { "inProgress", std::to_string(callerServer->inProgress()) }, { "graceMs", std::to_string(platform.stopGrace.count()) } });
     stoppingSince = Clock::now();
+    DrainSettings drainSettings;
+    drainSettings.grace = platform.stopGrace;
+    drainPlan = DrainPlan(*stoppingSince, drainSettings);
     mapDriver->stop();
     callerServer->closeAfterResponses();
     asio::co_spawn(traffic, drain(), asio::detached);
@@ -376,14 +377,47 @@
 
 Task<> DirectEntry::State::drain()
 {
-    const TimePoint drainDeadline = *stoppingSince + platform.stopGrace - detail::stopMargin;
-    co_await sleepFor(detail::balancerReactionTime);
-    while (callerServer->inProgress() && Clock::now() < drainDeadline)
-        co_await sleepFor(detail::tickInterval);
+    co_await sleepFor(std::min(detail::balancerReactionTime, std::chrono::duration_cast<Millis>(drainPlan->answerBy() - *stoppingSince)));
+    while (callerServer->inProgress() && Clock::now() < drainPlan->answerBy()) {
+        refuseLateJobs();
+        co_await sleepFor(detail::drainCheckInterval);
+    }
+    isClosing = true;
+    cutOffJobs();
+    // Callers use kept connections until the end; a request of which a part was read still gets its refusal.
+    callerServer->stopReading();
+    // At least once, since a request may have been read whose handler has not started.
+    do
+        co_await sleepFor(detail::drainCheckInterval);
+    while ((callerServer->inProgress() || callerServer->receiving()) && Clock::now() < drainPlan->closeBy());
     if (const size_t left = callerServer->inProgress())
         log(LogLevel::Warning, "stopped with requests in progress", { { "inProgress", std::to_string(left) } });
-    callerServer->stopAccepting();
     traffic.stop();
 }
 
+void DirectEntry::State::refuseLateJobs()
+{
+    const TimePoint now = Clock::now();
+    for (DirectJob* job : jobs) {
+        if (!job->queueTimer || job->isCutOff || !refusalForStop(*job, true, now))
+            continue;
+        job->isCutOff = true;
+        job->queueTimer->cancel();
+    }
+}
+
+void DirectEntry::State::cutOffJobs()
+{
+    if (!jobs.empty())
+        log(LogLevel::Warning, "requests cut off at the end of the grace period", { { "requests", std::to_string(jobs.size()) } });
+    metrics.count("orioletrail_requests_cut_off_total", {}, jobs.size());
+    for (DirectJob* job : jobs) {
+        job->isCutOff = true;
+        if (job->queueTimer)
+            job->queueTimer->cancel();
+        else if (job->cancelToken)
+            job->cancelToken->cancel();
+    }
+}
+
 } // namespace orioletrail
--- a/direct/explain.cc
+++ b/direct/explain.cc
@@ -36,7 +36,7 @@
         job.caller.promptParts.push_back(part.hash);
     ExplainAnswer answer;
     answer.instance = platform.instance;
-    std::optional<DirectRefusal> refusal = refusalForState(job.received);
+    std::optional<DirectRefusal> refusal = refusalForState();
     if (snapshot.catalog) {
         answer.configuration = snapshot.catalog->version();
         if (!query->account.empty())
@@ -48,6 +48,8 @@
             return detail::explainError(404, "no route for host \"" + query->host + "\" and path \"" + query->path + "\" in configuration " + std::to_string(answer.configuration));
         if (!refusal)
             refusal = routeRefusal;
+        if (!refusal)
+            refusal = refusalForStop(job, false, job.received);
     }
     if (!refusal)
         refusal = refusalForCrashes(job, job.received);
--- a/direct/request.cc
+++ b/direct/request.cc
@@ -14,9 +14,6 @@
 namespace detail {
 
     constexpr Millis defaultTimeLeft { 30'000 };
-    // New requests are still accepted for this long after a stop signal: the load balancer in front needs
-    // some time to stop sending them. Later ones could not end within the grace period.
-    constexpr Millis acceptWhileStopping { 3000 };
     // An instance that has just started learns the configuration within some hundred milliseconds.
     constexpr Millis startupRetryAfter { 500 };
     constexpr Millis rejectedRetryAfter { 200 };
@@ -70,29 +67,41 @@
     retries.onRequest(job->service, job->received);
     if (job->route->streaming)
         dispatcher->updatePaceProfile(job->service, *job->route, job->received);
+    jobs.insert(job.get());
     co_await attemptUntilAnswered(request, responder, *job);
+    jobs.erase(job.get());
 }
 
 std::optional<DirectRefusal> DirectEntry::State::resolve(const HttpRequest& request, DirectJob& job)
 {
-    if (const std::optional<DirectRefusal> refusal = refusalForState(job.received))
+    if (const std::optional<DirectRefusal> refusal = refusalForState())
         return refusal;
     if (const std::optional<DirectRefusal> refusal = findRoute(request.path(), job))
         return refusal;
+    if (const std::optional<DirectRefusal> refusal = refusalForStop(job, false, job.received))
+        return refusal;
     chooseService(job);
     job.digests = detail::requestDigests(request, job);
     return refusalForCrashes(job, job.received);
 }
 
-std::optional<DirectRefusal> DirectEntry::State::refusalForState(TimePoint now)
+std::optional<DirectRefusal> DirectEntry::State::refusalForState()
 {
     if (!isCaughtUp())
         return DirectRefusal { 503, Reason::NoConfiguration, Outcome::NotRun, detail::startupRetryAfter };
-    if (stoppingSince && now - *stoppingSince > detail::acceptWhileStopping)
-        return DirectRefusal { 503, Reason::ShuttingDown, Outcome::NotRun, detail::rejectedRetryAfter };
     return std::nullopt;
 }
 
+std::optional<DirectRefusal> DirectEntry::State::refusalForStop(const DirectJob& job, bool isTaken, TimePoint now) const
+{
+    if (!drainPlan)
+        return std::nullopt;
+    const DrainRequest request { job.deadline, answerTimes.mostTake(job.route->name), job.route->idempotency == Idempotency::Idempotent };
+    if (!isClosing && !job.isCutOff && (isTaken ? drainPlan->maySend(request, now) : drainPlan->mayTake(request, now)))
+        return std::nullopt;
+    return DirectRefusal { 503, Reason::ShuttingDown, Outcome::NotRun, detail::rejectedRetryAfter };
+}
+
 std::optional<DirectRefusal> DirectEntry::State::findRoute(std::string_view path, DirectJob& job)
 {
     job.catalog = snapshot.catalog;
@@ -134,7 +143,9 @@
 {
     while (true) {
         std::optional<DirectRefusal> refusal = co_await reservePlace(job);
-        if (!refusal && (refusal = refusalForCrashes(job, Clock::now())))
+        if (!refusal && !(refusal = refusalForCrashes(job, Clock::now())))
+            refusal = refusalForStop(job, true, Clock::now());
+        if (refusal && job.target)
             dispatcher->cancelReservation(std::exchange(job.target, nullptr)->record.id, Clock::now());
         if (refusal) {
             if (job.isRetryCharged)
@@ -222,6 +233,8 @@
     }
     if (job.target)
         co_return std::nullopt;
+    if (job.isCutOff)
+        co_return DirectRefusal { 503, Reason::ShuttingDown, Outcome::NotRun, detail::rejectedRetryAfter };
     co_return DirectRefusal { 503, Reason::QueueTooLong, Outcome::NotRun, dispatcher->retryAfter(job, Clock::now()) };
 }
 
@@ -231,7 +244,7 @@
     // and those that reached no endpoint by more, since they are over at once.
     constexpr uint32_t maxExtraRejected = 2;
     constexpr uint32_t maxExtraUnsent = 8;
-    if (job.callerGone || Clock::now() >= job.deadline || result.reason == Reason::CallerGone)
+    if (job.callerGone || job.isCutOff || Clock::now() >= job.deadline || result.reason == Reason::CallerGone)
         return false;
     const bool isIdempotent = job.route->idempotency == Idempotency::Idempotent;
     if (result.outcome != Outcome::NotRun && !isIdempotent)
--- a/direct/state.h
+++ b/direct/state.h
@@ -11,6 +11,8 @@
 #include "direct/registry.h"
 #include "direct/watcher.h"
 #include "dispatch/dispatcher.h"
+#include "drain/answer-times.h"
+#include "drain/plan.h"
 #include "gateway/events.h"
 #include "group/group-log.h"
 #include "platform/dialect.h"
@@ -72,6 +74,8 @@
     // When the caller stops waiting or the route's timeout ends, whichever is sooner.
     TimePoint deadline;
     bool callerGone = false;
+    // The process ends before the request has its answer.
+    bool isCutOff = false;
     // True if any attempt so far may have run the request.
     bool mayHaveRun = false;
     // Attempts that the endpoint did not reject.
@@ -139,8 +143,10 @@
     std::optional<DirectRefusal> resolve(const HttpRequest&, DirectJob&);
     // Returns a refusal if the request, or a part of its prompt, crashes endpoints.
     std::optional<DirectRefusal> refusalForCrashes(const DirectJob&, TimePoint) const;
-    // Returns a refusal if this entry takes no requests, because it has no configuration yet or is stopping.
-    std::optional<DirectRefusal> refusalForState(TimePoint);
+    // Returns a refusal if this entry takes no requests, because it has no configuration yet.
+    std::optional<DirectRefusal> refusalForState();
+    // Returns a refusal if this entry is stopping and takes or sends no request like this one any more.
+    std::optional<DirectRefusal> refusalForStop(const DirectJob&, bool isTaken, TimePoint) const;
     // Finds route, account and deadline for a path, or returns a refusal.
     std::optional<DirectRefusal> findRoute(std::string_view path, DirectJob&);
     // Picks one of the route's services at random, by weight.
@@ -240,8 +246,12 @@
 
     void shutDown();
     // Waits until the load balancer in front sends no more requests and those in progress have ended,
-    // at most for the platform's grace period, and then stops.
+    // at most as long as the plan allows, and then stops.
     Task<> drain();
+    // Refuses requests that wait for a place and are too late to be sent to an endpoint.
+    void refuseLateJobs();
+    // Ends the requests that are still in progress. Those that wait for a place have not run, others may have.
+    void cutOffJobs();
     void awaitStop();
     void awaitReload();
     void reload();
@@ -303,6 +313,12 @@
     std::mt19937_64 random { std::random_device {}() };
     // Set when a stop signal has arrived.
     std::optional<TimePoint> stoppingSince;
+    std::optional<DrainPlan> drainPlan;
+    // Requests are refused, since the process is about to end.
+    bool isClosing = false;
+    AnswerTimes answerTimes;
+    // Requests in progress that have a route.
+    std::set<DirectJob*> jobs;
     std::thread controlThread;
 };
 
--- a/gateway/http.h
+++ b/gateway/http.h
@@ -133,9 +133,16 @@
     // Stops accepting. Requests in progress continue; each connection closes after its response.
     void stopAccepting();
 
+    // As stopAccepting(), and closes the connections that wait for a request. A request of which a part has been
+    // received is still received and handled.
+    void stopReading();
+
     // The number of requests whose handler is running.
     size_t inProgress() const;
 
+    // The number of requests of which a part has been received.
+    size_t receiving() const;
+
     const std::string& lastError() const { return m_lastError; }
 
     struct State;
--- a/gateway/server.cc
+++ b/gateway/server.cc
@@ -13,6 +13,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <set>
 
 namespace orioletrail {
 
@@ -41,7 +42,11 @@
     size_t m_rejecting = 0;
     uint64_t m_acceptedConnections = 0;
     size_t m_inProgress = 0;
+    size_t m_receiving = 0;
+    // Connections that wait for a request.
+    std::set<boost::beast::tcp_stream*> m_idle;
     bool m_stopping = false;
+    bool m_stopReading = false;
     bool m_closeAfterResponse = false;
 };
 
@@ -471,11 +476,15 @@
     {
         error_code error;
         if (!buffer.size()) {
+            if (state->m_stopReading)
+                co_return false;
             buffer.shrink_to_fit();
             memory.release(MemoryKind::Head);
             memory.setPhase(ConnectionPhase::Idle);
             stream.expires_after(state->m_limits.idleTimeout);
+            state->m_idle.insert(&stream);
             const size_t bytes = co_await stream.async_read_some(buffer.prepare(firstReadBytes), asio::redirect_error(asio::use_awaitable, error));
+            state->m_idle.erase(&stream);
             if (error)
                 co_return false;
             buffer.commit(bytes);
@@ -486,7 +495,9 @@
         parser->header_limit(static_cast<std::uint32_t>(state->m_limits.maxHeaderBytes));
         parser->body_limit(state->m_limits.maxBodyBytes);
         stream.expires_after(state->m_limits.receiveTimeout);
+        ++state->m_receiving;
         error = co_await receive(state, stream, memory, buffer, *parser);
+        --state->m_receiving;
         if (error) {
             const bool isIdle = !parser->got_some();
             const auto [status, reason] = memory.wasCutOff() ? std::pair(408U, Reason::BadRequest) : rejectionFor(error);
@@ -620,6 +631,19 @@
     m_state->m_acceptor.close(ignored);
 }
 
+void HttpServer::stopReading()
+{
+    stopAccepting();
+    m_state->m_stopReading = true;
+    for (boost::beast::tcp_stream* stream : m_state->m_idle)
+        stream->cancel();
+}
+
+size_t HttpServer::receiving() const
+{
+    return m_state->m_receiving;
+}
+
 size_t HttpServer::inProgress() const
 {
     return m_state->m_inProgress;
--- a/tests/direct-cluster.cc
+++ b/tests/direct-cluster.cc
@@ -38,10 +38,10 @@
         return lines;
     }
 
-    json::object makeRoute(std::string_view prefix, std::string_view kind, std::string_view service, int attempts)
+    json::object makeRoute(std::string_view prefix, std::string_view kind, std::string_view service, int attempts, Millis timeout)
     {
         return { { "name", prefix }, { "host", "app.example" }, { "path_prefix", prefix }, { "kind", kind }, { "service", service },
-            { "timeout_ms", 3000 }, { "goal_ms", 500 }, { "gap_goal_ms", 500 }, { "priority", 1 }, { "max_attempts", attempts }, { "resumable", kind == "stream" } };
+            { "timeout_ms", timeout.count() }, { "goal_ms", 500 }, { "gap_goal_ms", 500 }, { "priority", 1 }, { "max_attempts", attempts }, { "resumable", kind == "stream" } };
     }
 
 } // namespace
@@ -235,7 +235,7 @@
 void DirectCluster::putConfiguration(uint64_t version, const std::string& key, const std::string& lookupPrefix, const std::string& account)
 {
     json::object configuration { { "version", version } };
-    configuration["routes"] = json::array { makeRoute("/stream/", "stream", "model", 2), makeRoute("/once/", "non_idempotent", "print", 1), makeRoute(lookupPrefix, "idempotent", "print", 2) };
+    configuration["routes"] = json::array { makeRoute("/stream/", "stream", "model", 2, m_options.routeTimeout), makeRoute("/once/", "non_idempotent", "print", 1, m_options.routeTimeout), makeRoute(lookupPrefix, "idempotent", "print", 2, m_options.routeTimeout) };
     configuration["services"] = json::array { json::object { { "name", "model" } }, json::object { { "name", "print" } } };
     configuration["tenants"] = json::array { json::object { { "name", account }, { "api_keys", json::array { key } } } };
     if (m_options.maxBodyBytes)
--- a/tests/direct-cluster.h
+++ b/tests/direct-cluster.h
@@ -14,6 +14,8 @@
     std::string settings;
     // Limit in the configuration; 0 for the default.
     size_t maxBodyBytes = 0;
+    // Timeout of all routes.
+    Millis routeTimeout { 3000 };
 };
 
 // Starts a store, five endpoints and one entry in zone z1. The service "model" has the endpoints "m1" and "m2" in
