Answer or refuse what a stopping entry takes before its drain timeout ends

Seen by callers: requests on kept connections were taken during the whole drain, and those that were left at its end got no answer.

Cause: the process stopped accepting connections, but not requests, and at the drain timeout it ended at once.

Evidence: "stop: an entry answers or refuses what it takes before its drain timeout ends" failed on the code before: 3 requests had been sent to the endpoint and got no answer.

Change: entries before sidecars use the plan of drain/plan.h.

--- a/entry/entry.cc
+++ b/entry/entry.cc
@@ -24,6 +24,8 @@
     // Retries of a service or an account that need no requests before. Each start of an entry adds them,
     // so there are only enough for the first failures.
     constexpr double retriesAfterStart = 2;
+    // For the answers to requests that are cut off at the end of the drain timeout.
+    constexpr Millis cutOffTime { 500 };
     // Most credits to request from one sidecar on top of those held.
     constexpr uint32_t maxCreditDemand = 16;
 
@@ -243,6 +245,10 @@
 {
     log(LogLevel::Info, "entry shutting down", { { "inProgress", std::to_string(callerServer->inProgress()) } });
     stopping = true;
+    DrainSettings drainSettings;
+    drainSettings.grace = settings.drainGrace + settings.drainTimeout + detail::cutOffTime;
+    drainSettings.acceptFor = settings.drainGrace;
+    drainPlan = DrainPlan(Clock::now(), drainSettings);
     asio::co_spawn(trafficIo, drain(), asio::detached);
 }
 
@@ -250,12 +256,31 @@
 {
     co_await sleepFor(settings.drainGrace);
     callerServer->stopAccepting();
-    const TimePoint until = Clock::now() + settings.drainTimeout;
-    while (callerServer->inProgress() && Clock::now() < until)
+    while (callerServer->inProgress() && Clock::now() < drainPlan->answerBy())
         co_await sleepFor(detail::tickInterval);
-    // Give the acknowledgements of the last frames time to be sent.
-    co_await sleepFor(detail::tickInterval);
+    isClosing = true;
+    cutOffRequests();
+    // Callers use kept connections until the end; a request of which a part was read still gets its refusal.
+    callerServer->stopReading();
+    // At least once, since a request may have been read whose handler has not started, and the acknowledgements of the
+    // last frames need time to be sent.
+    do
+        co_await sleepFor(detail::tickInterval);
+    while ((callerServer->inProgress() || callerServer->receiving()) && Clock::now() < drainPlan->closeBy());
     trafficIo.stop();
 }
 
+void Entry::State::cutOffRequests()
+{
+    if (!contexts.empty())
+        log(LogLevel::Warning, "requests cut off at the end of the drain timeout", { { "requests", std::to_string(contexts.size()) } });
+    metrics.count("orioletrail_requests_cut_off_total", {}, contexts.size());
+    for (RequestContext* context : contexts) {
+        context->isCutOff = true;
+        if (context->stream)
+            context->stream->fail(Outcome::MayHaveRun, Reason::ShuttingDown);
+    }
+    queueWakeup.cancel();
+}
+
 } // namespace orioletrail
--- a/entry/request.cc
+++ b/entry/request.cc
@@ -102,7 +102,9 @@
     context.requestId = isValidId ? std::string(callerId) : format(AttemptId { incarnation, context.requestNumber, 0 });
     metrics.count("orioletrail_requests_total");
     const TimePoint receivedAt = context.receivedAt;
+    contexts.insert(&context);
     co_await admitAndForward(request, responder, context);
+    contexts.erase(&context);
     addToHistory(std::move(context));
     metrics.observeLatency("orioletrail_request_seconds", Clock::now() - receivedAt);
 }
@@ -131,6 +133,8 @@
     std::optional<Refusal> refusal = authenticate(request, context);
     if (!refusal)
         refusal = parseRequest(request, context);
+    if (!refusal)
+        refusal = checkDrain(context, false);
     if (!refusal) {
         context.contentDigest = std::to_string(hash64(request.body, hash64(context.target, hash64(context.service))));
         refusal = checkAdmission(context);
@@ -255,6 +259,19 @@
     return std::nullopt;
 }
 
+std::optional<Refusal> Entry::State::checkDrain(const RequestContext& context, bool isTaken) const
+{
+    if (!drainPlan)
+        return std::nullopt;
+    // The ledger keeps a request with a key from running twice, so its caller may repeat it too.
+    const bool isRepeatable = context.idempotent || !context.idempotencyKey.empty();
+    const DrainRequest request { context.deadline, answerTimes.mostTake(context.service), isRepeatable };
+    const TimePoint now = Clock::now();
+    if (!isClosing && !context.isCutOff && (isTaken ? drainPlan->maySend(request, now) : drainPlan->mayTake(request, now)))
+        return std::nullopt;
+    return Refusal { 503, Reason::ShuttingDown, Outcome::NotRun, {} };
+}
+
 Task<> Entry::State::forwardWithRetries(const HttpRequest& request, Responder& responder, RequestContext& context)
 {
     AttemptResult result { Outcome::NotRun, Reason::NoCapacity };
@@ -264,6 +281,11 @@
             result = { Outcome::NotRun, Reason::CallerGone };
             break;
         }
+        if (const std::optional<Refusal> refusal = checkDrain(context, true)) {
+            if (!context.attemptCount)
+                result = { refusal->outcome, refusal->reason };
+            break;
+        }
         if (!context.link) {
             // After a failed attempt, report its reason rather than the lack of another endpoint.
             if (!context.attemptCount)
@@ -359,7 +381,7 @@
     ++queuedByService[context.service];
     ++queuedTotal;
     updateCreditDemand();
-    while (!link && !context.callerGone && Clock::now() < until) {
+    while (!link && !context.callerGone && !context.isCutOff && Clock::now() < until) {
         boost::system::error_code ignored;
         co_await queueWakeup.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         link = view.mayAcceptWork(Clock::now()) ? chooseLink(context) : nullptr;
@@ -478,7 +500,7 @@
 {
     if (poisonRecords.verdict(context.contentDigest, Clock::now()) == PoisonVerdict::Refuse)
         return false;
-    if (context.answerStarted || context.callerGone || context.attemptCount >= settings.maxAttempts || Clock::now() >= context.deadline)
+    if (context.answerStarted || context.callerGone || context.isCutOff || context.attemptCount >= settings.maxAttempts || Clock::now() >= context.deadline)
         return false;
     if (result.outcome == Outcome::MayHaveRun && !context.idempotent)
         return false;
@@ -514,6 +536,7 @@
     if (result.outcome == Outcome::Answered) {
         context.historyRecord.outcome = Outcome::Answered;
         refusals.onAnswer(detail::currentUnixMinute(), context.service);
+        answerTimes.onAnswered(context.service, std::chrono::duration_cast<Millis>(Clock::now() - context.sentAt));
         if (poisonRecords.size() && poisonRecords.onCompleted(context.contentDigest, Clock::now()))
             sendPoisonReport(context.contentDigest);
     } else if (result.outcome == Outcome::MayHaveRun && result.reason == Reason::EndpointDied) {
--- a/entry/state.h
+++ b/entry/state.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include "admission/fairness.h"
+#include "drain/answer-times.h"
+#include "drain/plan.h"
 #include "entry/entry.h"
 #include "entry/link.h"
 #include "operator/command.h"
@@ -13,6 +15,7 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <set>
 #include <thread>
 
 namespace orioletrail {
@@ -40,6 +43,8 @@
     // The endpoint must run nothing else meanwhile, since an earlier attempt may have crashed one.
     bool runAlone = false;
     bool callerGone = false;
+    // The process ends before the request has its answer.
+    bool isCutOff = false;
     // True once an attempt ended without proof that the request did not run.
     bool mayHaveRun = false;
     TimePoint receivedAt = Clock::now();
@@ -99,6 +104,8 @@
     // Refuses requests that crashed endpoints and those over the account's limit or fair share.
     // An admitted request counts as in flight until fairShare.finish().
     std::optional<Refusal> checkAdmission(RequestContext&);
+    // Refuses requests that come too late before the process ends, or wait too long to be sent.
+    std::optional<Refusal> checkDrain(const RequestContext&, bool isTaken) const;
     // Makes attempts until one is answered or no retry is possible, and answers the caller.
     Task<> forwardWithRetries(const HttpRequest&, Responder&, RequestContext&);
     // Waits up to queueTimeout for a link with a credit. Returns null if there is none, the queue
@@ -173,7 +180,11 @@
     Task<> waitForRevision(uint64_t revision);
 
     void shutDown();
+    // Waits until the load balancer in front sends no more connections and the requests in progress have ended, at most
+    // for the drain timeout, and then stops.
     Task<> drain();
+    // Ends the requests that are still in progress. Those that wait for a link have not run, others may have.
+    void cutOffRequests();
 
     EntrySettings settings;
     // Random number that identifies this run of the process in attempt IDs.
@@ -215,6 +226,14 @@
     // Cache of SHA-256 digests by bearer token.
     std::map<std::string, std::string, std::less<>> tokenDigests;
     uint64_t lastRequestNumber = 0;
+    // Requests in progress.
+    std::set<RequestContext*> contexts;
+    // Set when a stop signal has arrived.
+    std::optional<DrainPlan> drainPlan;
+    // Requests are refused, since the process is about to end.
+    bool isClosing = false;
+    // By service.
+    AnswerTimes answerTimes;
     // Read by the control thread for /readyz.
     std::atomic<bool> stopping { false };
     std::atomic<bool> ready { false };
--- a/tests/stop-failure-test.cc
+++ b/tests/stop-failure-test.cc
@@ -1,5 +1,6 @@
 // Planned stops while callers go on sending on kept connections until the process is gone.
 #include "gateway/async.h"
+#include "tests/cluster.h"
 #include "tests/direct-cluster.h"
 #include "tests/raw-endpoint.h"
 
@@ -145,3 +146,33 @@
     CHECK(exitCode == 0);
     checkAnswered(results, endpoint.reached());
 }
+
+TEST_CASE("stop: an entry answers or refuses what it takes before its drain timeout ends")
+{
+    ClusterOptions options;
+    options.zones = 1;
+    options.enginesPerZone = 1;
+    options.sidecarFlags = { "--cold-limit", "64", "--warm-limit", "64" };
+    Cluster cluster(options);
+    REQUIRE(cluster.waitUntilReady());
+    cluster.startEntry(1, { "--drain-timeout", "2000" });
+    REQUIRE(cluster.waitUntilReady());
+    cluster.endpoint("z1-s1").signal(SIGKILL);
+    REQUIRE(cluster.endpoint("z1-s1").wait(Millis(5000)));
+    const auto address = parseAddress(cluster.endpointAddress("z1-s1"));
+    SlowEndpoint endpoint(address->second);
+    REQUIRE(waitUntil([&] { return cluster.call(cluster.entryAddress(1), "GET", "/services/print/orders/1").status == 200; }));
+    std::optional<int> exitCode;
+    std::thread stopper([&] {
+        std::this_thread::sleep_for(Millis(3500));
+        cluster.entry(1).signal(SIGTERM);
+        exitCode = cluster.entry(1).wait(Millis(3500));
+    });
+    const auto results = callUntilGone(cluster.entryAddress(1), [](const std::string& id, int caller) {
+        const bool isIdempotent = caller % 2;
+        return HttpRequest { isIdempotent ? "GET" : "POST", "/services/print/orders", { { "X-Request-Id", id }, { "Authorization", "Bearer test-token" }, { "X-Deadline-Ms", "8000" } }, {} };
+    });
+    stopper.join();
+    CHECK(exitCode == 0);
+    checkAnswered(results, endpoint.reached());
+}
