--- a/base/types.cc
+++ b/base/types.cc
@@ -1,5 +1,6 @@
 #include "base/types.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 
@@ -45,4 +46,11 @@
     return { text.data(), static_cast<size_t>(length) };
 }
 
+bool isHeaderValue(std::string_view text)
+{
+    constexpr unsigned char del = 127;
+    const auto isControl = [](unsigned char c) { return c < ' ' || c == del; };
+    return !text.empty() && text.front() != ' ' && text.back() != ' ' && std::none_of(text.begin(), text.end(), isControl);
+}
+
 } // namespace orioletrail
--- a/base/types.h
+++ b/base/types.h
@@ -19,6 +19,10 @@
 // HTTP header fields in the order received, with names spelled as received.
 using HeaderList = std::vector<std::pair<std::string, std::string>>;
 
+// Whether the text can be sent as the value of a header and arrives unchanged: it is not empty, holds no control
+// characters and neither begins nor ends with a blank.
+bool isHeaderValue(std::string_view);
+
 // Number of tokens that a request to a model engine states; 0 where it states none.
 struct RequestSize {
     uint32_t promptTokens = 0;
--- a/gateway/events-test.cc
+++ b/gateway/events-test.cc
@@ -60,3 +60,24 @@
     CHECK(splitter.push("id: 8\ndata: y\n\n") == "id: 8\ndata: y\n\n");
     CHECK(splitter.lastId() == "8");
 }
+
+// Fails if a stream goes on from an id that the next endpoint gets changed, or that ends its header.
+TEST_CASE("an id that is no value of a header leaves none to go on from")
+{
+    for (int byte = 0; byte < 256; ++byte) {
+        if (byte == '\r' || byte == '\n')
+            continue;
+        CAPTURE(byte);
+        const std::string id = "a" + std::string(1, static_cast<char>(byte)) + "b";
+        EventSplitter splitter;
+        splitter.push("id: 1\ndata: x\n\nid: " + id + "\ndata: y\n\n");
+        CHECK(splitter.lastId() == (byte < ' ' || byte == 127 ? "" : id));
+    }
+    for (const std::string& id : { std::string("  2"), std::string(" 2 "), std::string(2000, 'x') }) {
+        EventSplitter splitter;
+        splitter.push("id: 1\ndata: x\n\nid:" + id + "\ndata: y\n\n");
+        CHECK(splitter.lastId().empty());
+        splitter.push("id: 3\ndata: z\n\n");
+        CHECK(splitter.lastId() == "3");
+    }
+}
--- a/gateway/events.cc
+++ b/gateway/events.cc
@@ -1,5 +1,7 @@
 #include "gateway/events.h"
 
+#include "base/types.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -7,6 +9,8 @@
 
 namespace detail {
 
+    constexpr size_t maxEventIdBytes = 1024;
+
     // A line without its end, which is LF, CR or CRLF.
     struct Line {
         std::string_view text;
@@ -37,7 +41,7 @@
             line.remove_prefix(field.size());
             if (line.starts_with(' '))
                 line.remove_prefix(1);
-            id = line;
+            id = line.size() <= maxEventIdBytes && (line.empty() || isHeaderValue(line)) ? line : std::string_view();
         }
     }
 
--- a/gateway/events.h
+++ b/gateway/events.h
@@ -23,7 +23,8 @@
     // beginning.
     void dropRemainder();
 
-    // The most recent "id" field among all complete events, or an empty string if none had one.
+    // The most recent "id" field among all complete events, or an empty string if none had one. Also empty if that one
+    // cannot be sent as the value of a header, so that a stream does not go on from an earlier event.
     const std::string& lastId() const { return m_lastId; }
 
 private:
