Bound what an engine's report may state

The leader of the expert maps keeps something for each rank of a group, and took its size from a report: 4 billion ranks. A count of infinity reached the planner, and an expert beyond those of the service was used as an index. A load near 2^32 overflowed when its parts were added.

That a process ended was not seen.

--- a/direct/map-driver.cc
+++ b/direct/map-driver.cc
@@ -33,6 +33,8 @@
     constexpr uint64_t minNumbersLeft = 1000;
     // Endpoints that are slower than usual by more than this factor are reported as slow.
     constexpr double slownessThreshold = 1.2;
+    // Groups beyond these are ignored: reports come from other processes.
+    constexpr size_t maxGroups = 64;
     // An engine is silent after two missed reports.
     constexpr Millis silentAfter { 1000 };
 
@@ -357,7 +359,7 @@
     if (found != m_groups.end() && found->second->leader.ranks() == status.groupSize)
         return found->second;
     const EngineProfile* profile = m_hooks.profile(service);
-    if (!profile)
+    if (!profile || (found == m_groups.end() && m_groups.size() >= detail::maxGroups))
         return nullptr;
     MapLeaderSettings settings;
     settings.ranks = status.groupSize;
@@ -521,7 +523,11 @@
     if (!*map)
         co_return;
     ExpertMap& read = **map;
-    if (!held || held->version != version || held->epoch != epoch || held->experts.size() != read.experts.size() || rank >= group->leader.ranks()) {
+    const EngineProfile* profile = m_hooks.profile(group->service);
+    const auto isExpert = [&](uint32_t expert) { return profile && expert < profile->experts; };
+    const auto holdsExperts = [&](const auto& set) { return std::all_of(set.begin(), set.end(), isExpert); };
+    const bool isKnown = held && std::all_of(held->experts.begin(), held->experts.end(), holdsExperts);
+    if (!isKnown || held->version != version || held->epoch != epoch || held->experts.size() != read.experts.size() || rank >= group->leader.ranks()) {
         map->reset();
         co_return;
     }
