Take no instance without an address and no slowness that is no number above 0

An entry of another writer in a kind of our own counted as an instance, which divides the retry slack and the limits of endpoints among more of them than there are, and an entry that starts waited for its status. A status message with an infinite, negative or zero slowness reached the choice of endpoints.

--- a/direct/peers-test.cc
+++ b/direct/peers-test.cc
@@ -2,7 +2,9 @@
 #include "direct/peers.h"
 
 #include <boost/asio/io_context.hpp>
+#include <cmath>
 #include <doctest/doctest.h>
+#include <random>
 
 using namespace orioletrail;
 
@@ -190,3 +192,44 @@
     CHECK(attemptsAfter(true, Millis(400)) == 0);
     CHECK(attemptsAfter(true, Millis(600)) == 1);
 }
+
+// Fails if a factor that is no number above 0 reaches the choice of endpoints.
+TEST_CASE("a status with bytes changed or cut off is rejected, or holds only numbers that can be")
+{
+    PeerStatus status;
+    status.sender = { "entry-1", 5 };
+    status.address = "10.0.0.1:7340";
+    status.inFlight = { { "e-1", 3 } };
+    status.processorShare = 0.5;
+    status.progress = { 3, { 17, 18, 19 } };
+    status.limits = { { "e-1", { 7, 2.25, Millis(30) } } };
+    status.sent = { { "e-1", { Millis(0), Millis(3900) } } };
+    status.leading = true;
+    status.slowness = { { "e-1", 4.5 }, { "e-2", 1.5 } };
+    const std::string whole = encodePeerStatus(status);
+    std::mt19937 random(49);
+    const auto below = [&](size_t most) { return std::uniform_int_distribution<size_t>(0, most - 1)(random); };
+    const auto check = [](const std::string& text) {
+        CAPTURE(text);
+        const auto read = decodePeerStatus(text);
+        if (!read)
+            return;
+        for (const auto& [endpoint, factor] : read->slowness)
+            CHECK((std::isfinite(factor) && factor > 0));
+        for (const auto& [endpoint, limit] : read->limits)
+            CHECK((std::isfinite(limit.perSecond) && limit.perSecond >= 0));
+        CHECK((std::isfinite(read->processorShare) && read->processorShare >= 0));
+    };
+    for (int round = 0; round < 20'000; ++round) {
+        std::string text = whole;
+        for (size_t changes = below(3) + 1; changes; --changes)
+            text[below(text.size())] = static_cast<char>(below(256));
+        check(round % 5 ? text : text.substr(0, below(text.size())));
+    }
+    for (const char* number : { "-1", "0", "1e400", "-1e400", "1e999999999", "\"4\"", "null", "[]" }) {
+        std::string text = whole;
+        text.replace(text.find("4.5E0"), 5, number);
+        text.replace(text.find("5E-1"), 4, number);
+        check(text);
+    }
+}
--- a/direct/peers.cc
+++ b/direct/peers.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
+#include <cmath>
 
 namespace orioletrail {
 
@@ -44,6 +45,14 @@
         return error ? std::nullopt : std::optional(number);
     }
 
+    // Nothing for a value that is no finite number above 0.
+    std::optional<double> readPositive(const json::value& value)
+    {
+        boost::system::error_code error;
+        const double number = value.is_number() ? value.to_number<double>(error) : 0;
+        return !error && std::isfinite(number) && number > 0 ? std::optional(number) : std::nullopt;
+    }
+
     std::optional<std::string> readText(const json::object& object, std::string_view name)
     {
         const json::value* field = object.if_contains(name);
@@ -143,7 +152,7 @@
             const auto age = item ? readNumber(*item, "ageMs") : std::nullopt;
             boost::system::error_code error;
             const double perSecond = rate && rate->is_number() ? rate->to_number<double>(error) : -1;
-            if (process && age && !error && perSecond >= 0)
+            if (process && age && !error && std::isfinite(perSecond) && perSecond >= 0)
                 limits.emplace(endpoint, NamedLimit { *process, perSecond, cappedAge(*age) });
         }
         return limits;
@@ -252,9 +261,9 @@
     status.offer = detail::readOffer(*object);
     const json::value* slowness = object->if_contains("slowness");
     if (slowness && slowness->is_object())
-        for (const auto& [endpoint, factor] : slowness->get_object())
-            if (factor.is_number())
-                status.slowness.emplace(endpoint, factor.to_number<double>(error));
+        for (const auto& [endpoint, value] : slowness->get_object())
+            if (const auto factor = detail::readPositive(value))
+                status.slowness.emplace(endpoint, *factor);
     if (status.leading)
         status.groups = readGroups(*object);
     detail::readCounts(*object, "inFlight", status.inFlight);
@@ -262,8 +271,8 @@
     status.zone = detail::readText(*object, "zone").value_or("");
     status.progress = detail::readProgress(*object);
     const json::value* processor = object->if_contains("processor");
-    if (processor && processor->is_number())
-        status.processorShare = processor->to_number<double>(error);
+    if (processor)
+        status.processorShare = detail::readPositive(*processor).value_or(0);
     const json::value* zones = object->if_contains("closedZones");
     if (zones && zones->is_array())
         for (const json::value& zone : zones->get_array())
--- a/direct/registry.cc
+++ b/direct/registry.cc
@@ -63,8 +63,13 @@
     if (listing.status != StoreStatus::Ok)
         co_return std::nullopt;
     std::vector<RegisteredInstance> instances;
-    for (const StoredObject& object : listing.objects)
-        instances.push_back({ object.name, detail::textField(object.content, "address"), detail::textField(object.content, "service") });
+    for (const StoredObject& object : listing.objects) {
+        RegisteredInstance instance { object.name, detail::textField(object.content, "address"), detail::textField(object.content, "service") };
+        if (parseAddress(instance.address))
+            instances.push_back(std::move(instance));
+        else
+            log(LogLevel::Warning, "invalid instance left out", { { "instance", object.name }, { "kind", kind } });
+    }
     co_return instances;
 }
 
