Replay no recorded answer that could not be sent

The status and the content type of a recorded answer were taken from the store as they are, and written to a caller. An answer with a status below 200 or above 599, or with a line end in its content type, counts as one whose body was left out now: the request does not run again, and its caller learns that it may have run.

Evidence: "a recorded answer that could not be sent counts as one whose body is left out".

--- a/ledger/record.cc
+++ b/ledger/record.cc
@@ -28,15 +28,26 @@
         return object;
     }
 
+    // An answer that could not be sent becomes a truncated one, so that the request does not run again.
+    RecordedAnswer toAnswer(const json::object& object)
+    {
+        constexpr unsigned firstStatus = 200;
+        constexpr unsigned lastStatus = 599;
+        RecordedAnswer answer { object.at("s").to_number<unsigned>(), std::string(object.at("c").as_string()), std::string(object.at("o").as_string()), object.at("x").as_bool() };
+        const bool hasStatus = answer.status >= firstStatus && answer.status <= lastStatus;
+        if (hasStatus && (answer.contentType.empty() || isHeaderValue(answer.contentType)))
+            return answer;
+        return { firstStatus, {}, {}, true };
+    }
+
     LedgerEntry toEntry(const json::object& object)
     {
         LedgerEntry entry;
         entry.bodyDigest = std::string(object.at("b").as_string());
         entry.claimId = std::string(object.at("n").as_string());
         entry.claimedAt = object.at("t").to_number<int64_t>();
-        if (const json::value* status = object.if_contains("s"))
-            entry.answer = RecordedAnswer { status->to_number<unsigned>(), std::string(object.at("c").as_string()),
-                std::string(object.at("o").as_string()), object.at("x").as_bool() };
+        if (object.contains("s"))
+            entry.answer = toAnswer(object);
         return entry;
     }
 
--- a/ledger/shard-test.cc
+++ b/ledger/shard-test.cc
@@ -549,3 +549,20 @@
     }
     CHECK(segments > 2000);
 }
+
+TEST_CASE("a recorded answer that could not be sent counts as one whose body is left out")
+{
+    const auto answerOf = [](const std::string& status, const std::string& contentType) {
+        std::string reason;
+        const auto record = parseLedgerRecord(R"({"owner":"1","token":2,"segments":[],"entries":{"k":{"b":"d","n":"c","t":3,"s":)" + status + R"(,"c":")" + contentType + R"(","o":"body","x":false}}})", reason);
+        REQUIRE(record);
+        return *record->entries.at("k").answer;
+    };
+    CHECK_FALSE(answerOf("201", "text/plain").truncated);
+    CHECK_FALSE(answerOf("200", "").truncated);
+    for (const char* status : { "0", "100", "199", "600", "4000000000" }) {
+        CAPTURE(status);
+        CHECK(answerOf(status, "text/plain").truncated);
+    }
+    CHECK(answerOf("200", "text/plain\\r\\nX: y").truncated);
+}
