--- a/direct/attempt.cc
+++ b/direct/attempt.cc
@@ -398,7 +398,7 @@
         retries.refund(job.service, now);
     job.isRetryCharged = false;
     if (wasSent && job.sentAttempts++)
-        metrics.count("orioletrail_repeat_arrivals_total", "service=\"" + job.service + "\",reason=\"" + std::string(reasonName(job.lastReason)) + '"');
+        metrics.count("orioletrail_repeat_arrivals_total", Metrics::label("service", job.service) + ',' + Metrics::label("reason", reasonName(job.lastReason)));
     job.lastReason = result.reason;
     if (result.outcome != Outcome::NotRun)
         ++job.acceptedAttempts;
--- a/direct/sidecar.cc
+++ b/direct/sidecar.cc
@@ -105,6 +105,9 @@
     // As the leader does: an order takes only the first answer on a connection.
     call.allowReuse = request.method == "GET";
     HttpResult result = co_await m_engine->call(std::move(call));
+    // Nothing of an answer that is not complete.
+    if (!result.ok())
+        result.body.clear();
     HttpResponse answer;
     answer.status = result.ok() ? result.status : badGateway;
     answer.headers = endToEndHeaders(result.headers);
--- a/entry/entry.cc
+++ b/entry/entry.cc
@@ -218,7 +218,7 @@
     metrics.setGauge("orioletrail_config_age_ms", static_cast<double>(view.freshness.age(now).count()));
     std::map<std::string, uint64_t> revisions;
     for (const auto& [name, link] : links)
-        metrics.setGauge("orioletrail_link_credits{endpoint=\"" + name + "\"}", link->credits());
+        metrics.setGauge("orioletrail_link_credits", Metrics::label("endpoint", name), link->credits());
     for (const auto& [name, link] : links)
         revisions[name] = link->isConnected() ? link->peerRevision() : 0;
     asio::post(controlIo, [this, copy = std::move(revisions)]() mutable { sidecarRevisions = std::move(copy); });
--- a/telemetry/metrics-test.cc
+++ b/telemetry/metrics-test.cc
@@ -32,3 +32,11 @@
         CHECK(++names[name] == 1);
     }
 }
+
+// Fails if a name from elsewhere ends the line of a metric.
+TEST_CASE("a label holds any characters")
+{
+    Metrics metrics;
+    metrics.setGauge("g", Metrics::label("name", "a\"b\\c\nd"), 1);
+    CHECK(metrics.toPrometheusText() == "# TYPE g gauge\ng{name=\"a\\\"b\\\\c\\nd\"} 1\n");
+}
--- a/telemetry/metrics.cc
+++ b/telemetry/metrics.cc
@@ -52,6 +52,21 @@
 
 Metrics::~Metrics() = default;
 
+std::string Metrics::label(std::string_view name, std::string_view value)
+{
+    std::string text(name);
+    text += "=\"";
+    for (const char c : value) {
+        if (c == '"' || c == '\\')
+            text += '\\';
+        if (c == '\n')
+            text += "\\n";
+        else
+            text += c;
+    }
+    return text += '"';
+}
+
 void Metrics::count(std::string_view name, std::string_view labels, uint64_t increment)
 {
     const std::lock_guard lock(m_mutex);
--- a/telemetry/metrics.h
+++ b/telemetry/metrics.h
@@ -12,6 +12,9 @@
 // Registry of metrics by name. A metric is created when it gets its first value. Thread-safe.
 class Metrics {
 public:
+    // A label whose value may hold any characters, for the `labels` below.
+    static std::string label(std::string_view name, std::string_view value);
+
     Metrics();
     ~Metrics();
 
