Read the bodies of answers in blocks as small as before

The change that looks for folded lines in a head also made the buffer of a connection begin with 16 KB, so that bodies were read 16 KB at a time instead of 512 bytes. Nothing asked for that. Windows between sidecars and entries, whose frames are not counted, filled sooner.

Change: a head is read in the sizes that the library uses for its own reads.

--- a/gateway/client.cc
+++ b/gateway/client.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
@@ -276,11 +277,11 @@
                 if (parser.is_header_done())
                     break;
             }
-            const size_t room = std::min(buffer.max_size() - buffer.size(), readBufferBytes);
-            if (!room)
+            const size_t wanted = boost::beast::read_size(buffer, readBufferBytes);
+            if (!wanted)
                 co_return http::error::buffer_overflow;
             error = {};
-            const size_t bytes = co_await stream.m_stream.async_read_some(buffer.prepare(room), asio::redirect_error(asio::use_awaitable, error));
+            const size_t bytes = co_await stream.m_stream.async_read_some(buffer.prepare(wanted), asio::redirect_error(asio::use_awaitable, error));
             buffer.commit(bytes);
             if (error)
                 co_return error;
