--- a/review/standins-3/harness.cpp
+++ b/review/standins-3/harness.cpp
@@ -228,6 +228,7 @@
         return false;
     char block[16'384];
     const ssize_t bytes = recv(m_descriptor, block, sizeof block, 0);
+    m_hasEndedInOrder = bytes == 0;
     if (bytes > 0)
         m_buffer.append(block, static_cast<size_t>(bytes));
     return bytes > 0;
--- a/review/standins-3/harness.h
+++ b/review/standins-3/harness.h
@@ -83,6 +83,8 @@
     bool readBody(size_t bytes, std::string& body, int timeoutMs);
     // Everything until the connection ends, or until nothing has arrived for the given time.
     std::string readRest(int quietMs);
+    // The peer has ended the connection in order. A peer that has not read all that was sent resets it instead.
+    bool hasEndedInOrder() const { return m_hasEndedInOrder; }
 
 private:
     // False at the end of the connection, or if nothing has arrived for the given time.
@@ -90,6 +92,7 @@
 
     int m_descriptor;
     std::string m_buffer;
+    bool m_hasEndedInOrder = false;
 };
 
 // A request as a replica has received it.
@@ -121,6 +124,7 @@
 
     // Starts `orioletrail direct` as the deploy file does, and waits until it is ready.
     Child& startEntry();
+    void killEntry() { m_entry->kill(); }
     uint16_t entryPort() const { return port(10); }
 
     static std::string address(uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
