--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../standins-3/run.sh" 14 restarted stream
+exec "$(dirname "$0")/../standins-3/run.sh" 14 hidden-replicas
