--- a/review/standins-3/run.sh
+++ b/review/standins-3/run.sh
@@ -12,7 +12,11 @@
     echo "build target/ and run review/build-3.sh first" | tee "review/$case/record.txt"
     exit 2
 fi
-timeout 110 "$program" "$folder" "review/$case/record.txt" "$@"
+timeout 110 "$program" "$folder" "review/$case/record.txt" "$@" &
+running=$!
+# The program's children end with it.
+trap 'kill "$running" 2>/dev/null' TERM INT
+wait "$running"
 result=$?
 [ "$result" -le 1 ] || result=2
 exit "$result"
