--- a/review/standins-3/pipelined-stop.cpp
+++ b/review/standins-3/pipelined-stop.cpp
@@ -11,6 +11,8 @@
 constexpr int workMs = 400;
 constexpr int beforeStopMs = 150;
 constexpr int clientCount = 5;
+// From the site's bounds (stable_window_ms), and a margin.
+constexpr int stableMs = 3000 + 500;
 // From the site's bounds.
 constexpr double lossSlackSeconds = 0.2;
 // An entry that stops ends within its grace period of 8 s.
@@ -64,6 +66,7 @@
         deployment.putReplica(names[number], "print", port, 1);
     }
     const Child& entry = deployment.startEntry();
+    sleepMs(stableMs);
     std::vector<Result> results(clientCount);
     std::vector<std::thread> clients;
     for (int client = 0; client < clientCount; ++client) {
