Log which endpoints a later process at their address hides

The comparison of starts moves to a class of its own, which also tells each process that turned out to have ended, with the record that shows it. The keeper logs it. What is hidden does not change.

build/directory-test and build/direct-test pass.

--- a/direct/keeper.cc
+++ b/direct/keeper.cc
@@ -23,6 +23,7 @@
             return {
                 [this](const DirectoryUpdate& update) {
                     const bool changed = std::visit([this](const auto& item) { return apply(item); }, update);
+                    logSuperseded();
                     if (changed && m_state.isComplete())
                         m_onChange(m_state.snapshot());
                 },
@@ -98,6 +99,12 @@
             return m_state.expire(Clock::now());
         }
 
+        void logSuperseded()
+        {
+            for (const SupersededProcess& process : m_state.takeSuperseded())
+                log(LogLevel::Info, "endpoint ended: a later process is registered at its address", { { "endpoint", process.id }, { "startMs", std::to_string(process.processStartMs) }, { "successor", process.successor }, { "service", process.successorService } });
+        }
+
         void logChangedRecords()
         {
             constexpr size_t maxNamed = 8;
--- a/directory/beliefs.cc
+++ b/directory/beliefs.cc
@@ -1,7 +1,5 @@
 #include "directory/beliefs.h"
 
-#include "base/digest.h"
-
 namespace orioletrail {
 
 namespace detail {
@@ -11,11 +9,6 @@
 
 } // namespace detail
 
-uint64_t processOf(const EndpointRecord& record)
-{
-    return hash64(record.id, record.processStartMs);
-}
-
 bool DirectoryState::onCatalog(Catalog catalog)
 {
     if (m_catalog && catalog.version() <= m_catalog->version())
@@ -37,14 +30,27 @@
     for (EndpointRecord& record : listed) {
         unlisted.erase(record.id);
         if (!isRemovedSinceCopy(record, now))
-            onEndpointChanged(std::move(record), now);
+            change(std::move(record), now);
     }
     for (const std::string& id : unlisted)
-        onEndpointRemoved(id, now);
+        drop(id, now);
     m_hasEndpointList = true;
+    updateClaims();
 }
 
 void DirectoryState::onEndpointChanged(EndpointRecord record, TimePoint now)
+{
+    change(std::move(record), now);
+    updateClaims();
+}
+
+void DirectoryState::updateClaims()
+{
+    for (SupersededProcess& process : m_claims.update(m_endpoints))
+        m_newlySuperseded.push_back(std::move(process));
+}
+
+void DirectoryState::change(EndpointRecord record, TimePoint now)
 {
     m_unconfirmed.erase(record.id);
     m_removed.erase(record.id);
@@ -59,6 +65,12 @@
 }
 
 void DirectoryState::onEndpointRemoved(std::string_view id, TimePoint now)
+{
+    drop(id, now);
+    updateClaims();
+}
+
+void DirectoryState::drop(std::string_view id, TimePoint now)
 {
     const auto found = m_endpoints.find(id);
     if (found == m_endpoints.end())
@@ -71,16 +83,8 @@
 
 DirectorySnapshot DirectoryState::snapshot() const
 {
-    std::map<std::pair<std::string_view, uint16_t>, uint64_t> latestStarts;
-    for (const auto& [id, record] : m_endpoints) {
-        uint64_t& latest = latestStarts[{ record.host, record.port }];
-        latest = std::max(latest, record.processStartMs);
-    }
     DirectorySnapshot snapshot { m_catalog, m_endpoints, m_closedZones };
-    std::erase_if(snapshot.endpoints, [&](const auto& item) {
-        const EndpointRecord& record = item.second;
-        return !record.host.empty() && record.processStartMs && record.processStartMs < latestStarts.at({ record.host, record.port });
-    });
+    std::erase_if(snapshot.endpoints, [&](const auto& item) { return m_claims.isSuperseded(item.second); });
     return snapshot;
 }
 
@@ -137,6 +141,7 @@
     for (const std::string& id : m_unconfirmed)
         remove(id, now);
     m_unconfirmed.clear();
+    updateClaims();
     return true;
 }
 
--- a/directory/beliefs.h
+++ b/directory/beliefs.h
@@ -2,6 +2,7 @@
 // as last learnt from the platform's store.
 #pragma once
 
+#include "directory/address-claims.h"
 #include "directory/catalog.h"
 
 #include <memory>
@@ -9,30 +10,10 @@
 
 namespace orioletrail {
 
-// An endpoint as it last registered itself in the platform's store.
-struct EndpointRecord {
-    std::string id;
-    std::string service;
-    std::string host;
-    uint16_t port = 0;
-    std::string zone;
-    uint32_t slots = 1;
-    // The endpoint is draining and gets no new requests.
-    bool leaving = false;
-    // The endpoint is cold until then, and limited to ServiceProfile::coldPerSecond.
-    TimePoint coldUntil;
-    // Start of its process as Unix time in milliseconds, 0 if unknown. A record with the same
-    // identifier and another start time belongs to a new process, which has no state of the old one.
-    uint64_t processStartMs = 0;
-};
-
-// Identifies the process of an endpoint: a hash of its identifier and the start of its process.
-uint64_t processOf(const EndpointRecord&);
-
 // A consistent copy of the state, for the traffic thread.
 struct DirectorySnapshot {
     std::shared_ptr<const Catalog> catalog;
-    std::map<std::string, EndpointRecord, std::less<>> endpoints;
+    EndpointRecords endpoints;
     std::set<std::string, std::less<>> closedZones;
 };
 
@@ -82,7 +63,13 @@
     // store still lists them.
     DirectorySnapshot snapshot() const;
 
+    // Processes that turned out to be superseded since the last call.
+    std::vector<SupersededProcess> takeSuperseded() { return std::exchange(m_newlySuperseded, {}); }
+
 private:
+    void change(EndpointRecord, TimePoint);
+    void drop(std::string_view id, TimePoint);
+    void updateClaims();
     bool isInGrace(TimePoint) const;
     // True while what the store holds may be older than what it held before.
     bool mayBeOld(TimePoint) const;
@@ -97,7 +84,9 @@
     };
 
     std::shared_ptr<const Catalog> m_catalog;
-    std::map<std::string, EndpointRecord, std::less<>> m_endpoints;
+    EndpointRecords m_endpoints;
+    AddressClaims m_claims;
+    std::vector<SupersededProcess> m_newlySuperseded;
     // Endpoints that the store no longer lists, kept during the grace period.
     std::set<std::string, std::less<>> m_unconfirmed;
     std::set<std::string, std::less<>> m_closedZones;
