Let no entry of another writer hide an endpoint

Cause: the directory compared the starts of all records at an address and never asked whether the later one names an endpoint at all. Ruled out: a list that one entry spoils, and the restart, since requests fail before it.

Only records of services that the configuration names end another process now, and no start that lay in the future when it was first read. What has ended so stays ended until its record goes or it starts anew, so an address that another service has taken over is safe while configurations drop and add that service, while the store is away and when the successor's record lapses first.

The same cause elsewhere: - An entry that lacks a field that every endpoint writes was used as one. - An unreadable entry in place of an endpoint's own counted as its end, so the requests lost there were taken for the reason. - Entries before sidecars linked to endpoints of services that are not configured. With the address of another endpoint's sidecar such a link replaced that one's connection. A connection now names the endpoint that it means; sidecars and entries of earlier builds do not understand each other.

Two fixtures lacked fields that every endpoint writes and have them now. The tests of single malformed fields vary one field of a complete entry; before, a missing field could have been what failed them.

--- a/direct/direct.cc
+++ b/direct/direct.cc
@@ -203,7 +203,7 @@
         // A planned end proves nothing against the requests that were lost before it.
         if (item.second->record.leaving)
             crashes.onEnded(item.first, Clock::now());
-        else
+        else if (!snapshot.unreadable.contains(item.first))
             onEndpointEnded(item.first);
         return true;
     });
@@ -214,7 +214,8 @@
             target->record = record;
             continue;
         }
-        onEndpointEnded(id);
+        if (snapshot.catalog->namesService(record.service))
+            onEndpointEnded(id);
         target = std::make_shared<Target>();
         target->record = record;
         target->client = std::make_shared<HttpClient>(traffic.get_executor(), record.host, record.port);
--- a/direct/keeper.cc
+++ b/direct/keeper.cc
@@ -44,8 +44,8 @@
 
         bool apply(const EndpointListUpdate& update)
         {
-            m_state.onEndpointsListed(update.endpoints, Clock::now());
-            log(LogLevel::Info, "endpoints listed", { { "endpoints", std::to_string(update.endpoints.size()) } });
+            m_state.onEndpointsListed(update.list, Clock::now());
+            log(LogLevel::Info, "endpoints listed", { { "endpoints", std::to_string(update.list.endpoints.size()) }, { "unreadable", std::to_string(update.list.unreadable.size()) } });
             return true;
         }
 
@@ -68,6 +68,12 @@
             return true;
         }
 
+        bool apply(const EndpointUnreadable& endpoint)
+        {
+            m_state.onEndpointUnreadable(endpoint.id);
+            return true;
+        }
+
         bool apply(const ClosedZonesUpdate& update)
         {
             std::string zones;
--- a/direct/keeper.h
+++ b/direct/keeper.h
@@ -14,7 +14,7 @@
 
 // The complete list of endpoints was read from the store.
 struct EndpointListUpdate {
-    std::vector<EndpointRecord> endpoints;
+    EndpointList list;
 };
 
 // An endpoint was registered or has changed.
@@ -27,6 +27,11 @@
     std::string id;
 };
 
+// Something that cannot be read stands in place of an endpoint's registration.
+struct EndpointUnreadable {
+    std::string id;
+};
+
 // The complete set of closed availability zones.
 struct ClosedZonesUpdate {
     std::set<std::string, std::less<>> zones;
@@ -43,7 +48,7 @@
 // The store has come back from an older copy.
 struct StoreRestored { };
 
-using DirectoryUpdate = std::variant<CatalogUpdate, EndpointListUpdate, EndpointUpdate, EndpointRemoval, ClosedZonesUpdate, StoreAvailability, StoreRestored, ExpiryTick>;
+using DirectoryUpdate = std::variant<CatalogUpdate, EndpointListUpdate, EndpointUpdate, EndpointRemoval, EndpointUnreadable, ClosedZonesUpdate, StoreAvailability, StoreRestored, ExpiryTick>;
 
 // Owns the directory state and applies updates to them, one by one, on the actor's thread.
 class DirectoryKeeper {
--- a/direct/watcher.cc
+++ b/direct/watcher.cc
@@ -327,18 +327,21 @@
     EndpointListUpdate update;
     for (const StoredObject& object : listing.objects)
         if (auto record = parseEndpoint(object))
-            update.endpoints.push_back(std::move(*record));
+            update.list.endpoints.push_back(std::move(*record));
+        else
+            update.list.unreadable.push_back(object.name);
     m_keeper.send(std::move(update));
 }
 
 void StoreWatcher::onEndpointChanges(const StoreListing& changes)
 {
     for (const StoredObject& object : changes.objects) {
-        auto record = object.deleted ? std::nullopt : parseEndpoint(object);
-        if (record)
+        if (object.deleted)
+            m_keeper.send(EndpointRemoval { object.name });
+        else if (auto record = parseEndpoint(object))
             m_keeper.send(EndpointUpdate { std::move(*record) });
         else
-            m_keeper.send(EndpointRemoval { object.name });
+            m_keeper.send(EndpointUnreadable { object.name });
     }
 }
 
--- a/directory/address-claims.h
+++ b/directory/address-claims.h
@@ -3,6 +3,7 @@
 
 #include "directory/endpoint.h"
 
+#include <functional>
 #include <vector>
 
 namespace orioletrail {
@@ -17,11 +18,19 @@
 };
 
 // Addresses are reused, and the store keeps the record of a process that has ended for some heartbeats. Of the processes
-// at one address only the one that started last is alive.
+// at one address only the one that started last is alive. Records that name no replica to use say nothing about others:
+// those of services that the configuration does not name, and starts in the future, which no process can have.
 class AddressClaims {
 public:
-    // Compares the starts of all records. Returns the processes that turned out to be superseded since the last call.
-    std::vector<SupersededProcess> update(const EndpointRecords&);
+    using ServiceFilter = std::function<bool(std::string_view service)>;
+
+    // Compares the starts of all records; `isNamed` tells whether the configuration names a service. Returns the processes
+    // that turned out to be superseded since the last call. They stay so until their record is forgotten, whatever
+    // becomes of their successor and its service.
+    std::vector<SupersededProcess> update(const EndpointRecords&, const ServiceFilter& isNamed);
+
+    // The record was removed: if it comes back, its process is alive.
+    void forget(std::string_view id);
 
     bool isSuperseded(const EndpointRecord&) const;
 
--- a/directory/beliefs.cc
+++ b/directory/beliefs.cc
@@ -14,6 +14,7 @@
     if (m_catalog && catalog.version() <= m_catalog->version())
         return false;
     m_catalog = std::make_shared<const Catalog>(std::move(catalog));
+    updateClaims();
     return true;
 }
 
@@ -22,12 +23,17 @@
     return m_storeUnreachable || (m_graceEnd && now < *m_graceEnd);
 }
 
-void DirectoryState::onEndpointsListed(std::vector<EndpointRecord> listed, TimePoint now)
+void DirectoryState::onEndpointsListed(EndpointList listed, TimePoint now)
 {
     std::set<std::string, std::less<>> unlisted;
     for (const auto& [id, record] : m_endpoints)
         unlisted.insert(id);
-    for (EndpointRecord& record : listed) {
+    unlisted.insert(m_unreadable.begin(), m_unreadable.end());
+    for (const std::string& id : listed.unreadable) {
+        unlisted.erase(id);
+        replaceByUnreadable(id);
+    }
+    for (EndpointRecord& record : listed.endpoints) {
         unlisted.erase(record.id);
         if (!isRemovedSinceCopy(record, now))
             change(std::move(record), now);
@@ -44,9 +50,27 @@
     updateClaims();
 }
 
+void DirectoryState::onEndpointUnreadable(std::string_view id)
+{
+    replaceByUnreadable(id);
+    updateClaims();
+}
+
+void DirectoryState::replaceByUnreadable(std::string_view id)
+{
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end())
+        return;
+    m_unconfirmed.erase(found->first);
+    m_unreadable.insert(found->first);
+    m_endpoints.erase(found);
+}
+
 void DirectoryState::updateClaims()
 {
-    for (SupersededProcess& process : m_claims.update(m_endpoints))
+    if (!m_catalog)
+        return;
+    for (SupersededProcess& process : m_claims.update(m_endpoints, [this](std::string_view service) { return m_catalog->namesService(service); }))
         m_newlySuperseded.push_back(std::move(process));
 }
 
@@ -54,7 +78,10 @@
 {
     m_unconfirmed.erase(record.id);
     m_removed.erase(record.id);
+    m_unreadable.erase(record.id);
     const auto known = m_endpoints.find(record.id);
+    if (known != m_endpoints.end() && known->second.processStartMs == record.processStartMs)
+        record.startsInFuture = known->second.startsInFuture;
     if (known != m_endpoints.end() && mayBeOld(now)) {
         if (record.processStartMs < known->second.processStartMs)
             return;
@@ -72,6 +99,10 @@
 
 void DirectoryState::drop(std::string_view id, TimePoint now)
 {
+    if (const auto unreadable = m_unreadable.find(id); unreadable != m_unreadable.end()) {
+        m_claims.forget(id);
+        m_unreadable.erase(unreadable);
+    }
     const auto found = m_endpoints.find(id);
     if (found == m_endpoints.end())
         return;
@@ -83,7 +114,7 @@
 
 DirectorySnapshot DirectoryState::snapshot() const
 {
-    DirectorySnapshot snapshot { m_catalog, m_endpoints, m_closedZones };
+    DirectorySnapshot snapshot { m_catalog, m_endpoints, m_closedZones, m_unreadable };
     std::erase_if(snapshot.endpoints, [&](const auto& item) { return m_claims.isSuperseded(item.second); });
     return snapshot;
 }
@@ -101,6 +132,7 @@
         return;
     m_removed.insert_or_assign(found->first, RemovedProcess { found->second.processStartMs, now });
     m_endpoints.erase(found);
+    m_claims.forget(id);
 }
 
 bool DirectoryState::isRemovedSinceCopy(const EndpointRecord& record, TimePoint now) const
--- a/directory/beliefs.h
+++ b/directory/beliefs.h
@@ -15,6 +15,16 @@
     std::shared_ptr<const Catalog> catalog;
     EndpointRecords endpoints;
     std::set<std::string, std::less<>> closedZones;
+    // Endpoints that are left out because something unreadable stands in place of their records, which says nothing
+    // about their processes.
+    std::set<std::string, std::less<>> unreadable;
+};
+
+// A complete list of the registrations in the store.
+struct EndpointList {
+    std::vector<EndpointRecord> endpoints;
+    // Names of registrations that cannot be read.
+    std::vector<std::string> unreadable;
 };
 
 // The last known state of the system: configuration, endpoints and closed availability zones. Updates
@@ -30,7 +40,7 @@
 
     // Handles a complete list of endpoints. Known endpoints that are not listed are handled as by
     // onEndpointRemoved().
-    void onEndpointsListed(std::vector<EndpointRecord>, TimePoint);
+    void onEndpointsListed(EndpointList, TimePoint);
 
     // An endpoint registered or changed its record. While the store may still hold an older copy, a
     // record of an earlier process is ignored, and a process that is leaving stays so.
@@ -40,6 +50,9 @@
     // or after the grace period if the store is or was unreachable, unless it was draining.
     void onEndpointRemoved(std::string_view id, TimePoint);
 
+    // Something unreadable stands in place of the endpoint's record. The endpoint is not used until it has registered again.
+    void onEndpointUnreadable(std::string_view id);
+
     // Replaces the set of availability zones that get no requests.
     void onClosedZones(std::set<std::string, std::less<>>);
 
@@ -59,8 +72,7 @@
     // True once a configuration and a list of endpoints have been received.
     bool isComplete() const { return m_catalog && m_hasEndpointList; }
 
-    // Without endpoints at whose address a later process has registered: they have ended, although the
-    // store still lists them.
+    // Without endpoints at whose address a later process has registered; see AddressClaims.
     DirectorySnapshot snapshot() const;
 
     // Processes that turned out to be superseded since the last call.
@@ -69,6 +81,7 @@
 private:
     void change(EndpointRecord, TimePoint);
     void drop(std::string_view id, TimePoint);
+    void replaceByUnreadable(std::string_view id);
     void updateClaims();
     bool isInGrace(TimePoint) const;
     // True while what the store holds may be older than what it held before.
@@ -90,6 +103,8 @@
     // Endpoints that the store no longer lists, kept during the grace period.
     std::set<std::string, std::less<>> m_unconfirmed;
     std::set<std::string, std::less<>> m_closedZones;
+    // Known endpoints whose records have become unreadable.
+    std::set<std::string, std::less<>> m_unreadable;
     bool m_hasEndpointList = false;
     bool m_storeUnreachable = false;
     std::optional<TimePoint> m_graceEnd;
--- a/directory/catalog.cc
+++ b/directory/catalog.cc
@@ -29,6 +29,11 @@
     return detail::findValue(m_services, name);
 }
 
+bool Catalog::namesService(std::string_view name) const
+{
+    return m_services.contains(name) || m_routePriorities.contains(name);
+}
+
 const AccountProfile* Catalog::findAccount(std::string_view key) const
 {
     return detail::findValue(m_accountsByKey, key);
--- a/directory/catalog.h
+++ b/directory/catalog.h
@@ -130,6 +130,9 @@
     // Returns null if this version has no such service.
     const ServiceProfile* findService(std::string_view name) const;
 
+    // True if this version has the service, or a route that leads to it.
+    bool namesService(std::string_view name) const;
+
     // Returns the account that the API key belongs to, or null.
     const AccountProfile* findAccount(std::string_view key) const;
     // Returns an API key of the account of this name, or an empty view.
--- a/directory/endpoint.h
+++ b/directory/endpoint.h
@@ -22,6 +22,8 @@
     // Start of its process as Unix time in milliseconds, 0 if unknown. A record with the same
     // identifier and another start time belongs to a new process, which has no state of the old one.
     uint64_t processStartMs = 0;
+    // The start lay in the future when the record was first read, by more than clocks differ.
+    bool startsInFuture = false;
 };
 
 // Identifies the process of an endpoint: a hash of its identifier and the start of its process.
--- a/entry/link.cc
+++ b/entry/link.cc
@@ -118,7 +118,7 @@
             if (*alive)
                 onClosed(cause);
         } });
-    m_connection->send(Hello { m_identity.incarnation, ++m_connectionNumber, m_identity.name, m_identity.zone });
+    m_connection->send(Hello { m_identity.incarnation, ++m_connectionNumber, m_identity.name, m_identity.zone, m_endpoint });
     sendPing(Clock::now());
 }
 
--- a/membership/peers-test.cc
+++ b/membership/peers-test.cc
@@ -69,6 +69,10 @@
 TEST_CASE("a subset has the requested size for each service and changes little when an endpoint is removed")
 {
     ConfigView view;
+    for (const char* service : { "s", "t" })
+        view.services[service] = { service, ServiceKind::Plain };
+    // Of a service that is not configured.
+    view.endpoints["odd"] = { "odd", "inventory", "z", "127.0.0.1:1", false };
     for (int i = 0; i < 100; ++i) {
         const std::string name = std::to_string(i);
         view.endpoints[name] = { name, i % 2 ? "s" : "t", "z", "127.0.0.1:1", false };
--- a/membership/peers.cc
+++ b/membership/peers.cc
@@ -57,7 +57,8 @@
 {
     std::map<std::string_view, std::vector<detail::Candidate>> services;
     for (const auto& [name, endpoint] : view.endpoints)
-        services[endpoint.service].push_back({ rendezvousScore(self, name), name, {} });
+        if (view.services.contains(endpoint.service))
+            services[endpoint.service].push_back({ rendezvousScore(self, name), name, {} });
     std::vector<std::string> chosen;
     for (auto& [service, candidates] : services) {
         detail::sortByScore(candidates);
--- a/membership/peers.h
+++ b/membership/peers.h
@@ -19,7 +19,8 @@
 // of `count`. Leaving instances are excluded.
 std::vector<std::string> chooseNeighbours(const ConfigView&, std::string_view self, size_t count);
 
-// Names of the endpoints that an entry connects to, at most `count` of each service; 0 means all.
+// Names of the endpoints that an entry connects to, at most `count` of each service; 0 means all. Endpoints of services
+// that are not configured are left out.
 std::vector<std::string> chooseEndpointSubset(const ConfigView&, std::string_view self, size_t count);
 
 } // namespace orioletrail
--- a/sidecar/credit-exchange-test.cc
+++ b/sidecar/credit-exchange-test.cc
@@ -57,7 +57,7 @@
         wire.entry = entry;
         wire.number = ++end.connectionNumber;
         wires.push_back(wire);
-        wires.back().toSidecar.emplace_back(Hello { entry + 1, end.connectionNumber, "", "" });
+        wires.back().toSidecar.emplace_back(Hello { entry + 1, end.connectionNumber, "", "", "" });
         if (end.demand)
             wires.back().toSidecar.emplace_back(CreditDemand { end.demand });
     }
--- a/sidecar/peer-messages.cc
+++ b/sidecar/peer-messages.cc
@@ -99,6 +99,11 @@
 
 void Sidecar::State::onHello(Peer& peer, const Hello& hello)
 {
+    // Must not replace the entry's connection for this endpoint.
+    if (hello.endpoint != settings.name) {
+        peer.connection->close("meant for another endpoint");
+        return;
+    }
     const std::optional<uint64_t> replaced = attempts.registerConnection(hello.entryIncarnation, hello.connection);
     if (!replaced || !hello.entryIncarnation) {
         peer.connection->close("an entry has a newer connection");
--- a/tests/direct-cluster.cc
+++ b/tests/direct-cluster.cc
@@ -52,6 +52,16 @@
     return names;
 }
 
+std::string DirectCluster::serviceOf(const std::string& endpoint)
+{
+    return endpoint.starts_with('m') ? "model" : "print";
+}
+
+std::string DirectCluster::endpointAddress(const std::string& name) const
+{
+    return localAddress(endpointPort(name));
+}
+
 std::string DirectCluster::preferredPlainEndpoint(int entry)
 {
     const std::string instance = "entry-" + std::to_string(entry + 1);
@@ -227,8 +237,8 @@
 
 void DirectCluster::registerEndpoint(const std::string& name, const std::string& state)
 {
-    json::object content { { "service", name.starts_with('m') ? "model" : "print" }, { "addr", localAddress(endpointPort(name)) }, { "zone", zoneOf(name) },
-        { "slots", 12 }, { "state", state }, { "cold_left_ms", 0 }, { "born", m_startCounts[name] } };
+    json::object content { { "service", serviceOf(name) }, { "addr", endpointAddress(name) }, { "zone", zoneOf(name) }, { "version", "v1" }, { "slots", 12 }, { "state", state },
+        { "cold_left_ms", 0 }, { "seq", 1 }, { "born", m_startCounts[name] } };
     putObject("servers", name, std::move(content));
 }
 
@@ -236,7 +246,10 @@
 {
     json::object configuration { { "version", version } };
     configuration["routes"] = json::array { makeRoute("/stream/", "stream", "model", 2, m_options.routeTimeout), makeRoute("/once/", "non_idempotent", "print", 1, m_options.routeTimeout), makeRoute(lookupPrefix, "idempotent", "print", 2, m_options.routeTimeout) };
-    configuration["services"] = json::array { json::object { { "name", "model" } }, json::object { { "name", "print" } } };
+    json::array services { json::object { { "name", "model" } }, json::object { { "name", "print" } } };
+    if (!m_namedService.empty())
+        services.push_back(json::object { { "name", m_namedService } });
+    configuration["services"] = std::move(services);
     configuration["tenants"] = json::array { json::object { { "name", account }, { "api_keys", json::array { key } } } };
     if (m_options.maxBodyBytes)
         configuration["limits"] = json::object { { "max_body_bytes", m_options.maxBodyBytes } };
--- a/tests/direct-cluster.h
+++ b/tests/direct-cluster.h
@@ -101,6 +101,11 @@
     std::pair<int, std::string> explain(const std::string& words);
 
     static const std::vector<std::string>& endpointNames();
+    static std::string serviceOf(const std::string& endpoint);
+    // Address (IP:PORT) of an endpoint.
+    std::string endpointAddress(const std::string& name) const;
+    // Further configurations name this service too, unless it is empty.
+    void nameService(std::string name) { m_namedService = std::move(name); }
 
     // Of "p1" and "p2", the one that an entry chooses when both are equally loaded.
     static std::string preferredPlainEndpoint(int entry);
@@ -118,6 +123,7 @@
     TemporaryDirectory m_directory;
     // By KIND/NAME: 1 if the object was created, so that the next write must be a PUT.
     std::map<std::string, uint64_t> m_objectExists;
+    std::string m_namedService;
     std::unique_ptr<Process> m_store;
     // Number of starts of each endpoint, registered as "born" so that entries notice a restart.
     std::map<std::string, int> m_startCounts;
--- a/tests/malformed-failure-test.cc
+++ b/tests/malformed-failure-test.cc
@@ -138,7 +138,7 @@
     OddEndpoint endpoint;
     cluster.removeObject("servers", "p1");
     cluster.removeObject("servers", "p2");
-    cluster.putObject("servers", "odd", boost::json::object { { "service", "print" }, { "addr", endpoint.address() }, { "zone", "z1" }, { "slots", 12 }, { "state", "ready" } });
+    cluster.putObject("servers", "odd", boost::json::object { { "service", "print" }, { "addr", endpoint.address() }, { "zone", "z1" }, { "version", "v1" }, { "slots", 12 }, { "state", "ready" }, { "cold_left_ms", 0 }, { "seq", 1 } });
     REQUIRE(cluster.waitUntilReady());
     int request = 0;
     checkRefused(endpoint, [&] { return cluster.call("POST", "/once/1", "b" + std::to_string(request++)); });
--- a/transport/codec.cc
+++ b/transport/codec.cc
@@ -20,7 +20,7 @@
 template <class Inspector>
 typename Inspector::result_type inspect(Inspector& f, Hello& x)
 {
-    return f(x.entryIncarnation, x.connection, x.name, x.zone);
+    return f(x.entryIncarnation, x.connection, x.name, x.zone, x.endpoint);
 }
 
 template <class Inspector>
--- a/transport/message.h
+++ b/transport/message.h
@@ -19,6 +19,8 @@
     uint64_t connection = 0;
     std::string name;
     std::string zone;
+    // The endpoint whose sidecar the entry means.
+    std::string endpoint;
 };
 
 // The sidecar's reply to Hello.
