Move crash reports next to the records that they carry

direct/ holds processes and must not grow; what entries tell each other of crashes belongs to retry/, as the messages of other duties stand beside theirs. No change of behaviour; the tests of status messages cover it.

--- a/direct/peers.cc
+++ b/direct/peers.cc
@@ -1,6 +1,6 @@
 #include "direct/peers.h"
 
-#include "direct/crash-report.h"
+#include "retry/crash-report.h"
 #include "gateway/async.h"
 #include "rejection/full-report.h"
 #include "telemetry/log.h"
--- a/direct/crash-report.cc
+++ b/retry/crash-report.cc
@@ -1,4 +1,4 @@
-#include "direct/crash-report.h"
+#include "retry/crash-report.h"
 
 #include <boost/json.hpp>
 
