Tell a request that crashes endpoints by what it completes, not by when

Cause: deaths of attempts that overlapped counted as one, since endpoints may end together for another reason. Ruled out: that entries do not hear of each other's deaths, and that the copies differ.

A request at fault never completes. Requests that have completed lately are remembered now, and for these overlapping deaths count once. For any other each process counts. After two the request is in doubt: two entries may try it, one attempt at a time each, and the others answer 503, not run. If a trial after the third death is lost too, it is refused. Deaths that a request with more of them shares are not held against another.

The same cause elsewhere: - A process that starts again under its identity counted once while its start was not known. - Attempts sent within 10 ms before endpoints ended together counted each. - After a refusal all copies ran at once again. - An entry before sidecars counted a death twice, which overlap hid.

Tests changed: a popular request with nine overlapping deaths was to run on in any case. That was the fault; it does so now if it has completed, and is tried with care if not, and three such ends without a completion refuse it. After its refusal a request is tried with care, not just run alone. The simulated attempts at endpoints that end silently last until their deadline and are not repeated.

--- a/bench/bench.h
+++ b/bench/bench.h
@@ -43,6 +43,7 @@
 
 // Prints how a part of a prompt that crashes endpoints is found, over 50 seeds of a simulation.
 int runCrashParts();
+int runCrashRequests();
 
 struct ExperimentOptions {
     // Path of the scenario file, in JSON.
--- a/bench/main.cc
+++ b/bench/main.cc
@@ -16,6 +16,7 @@
     CLI::App* capacity = app.add_subcommand("capacity", "cost of the control plane by role and size");
     CLI::App* plan = app.add_subcommand("plan", "planning of expert maps after shifts in expert popularity");
     CLI::App* crashParts = app.add_subcommand("crash-parts", "finding the part of a prompt that crashes endpoints, in a simulation");
+    CLI::App* crashRequests = app.add_subcommand("crash-requests", "telling a request that crashes endpoints from sound ones, in a simulation");
     using namespace orioletrail::bench;
     CLI::App* groups = app.add_subcommand("groups", "splits of requests among groups of engines that differ, in simulated time");
     uint32_t groupRanks = 32;
@@ -48,6 +49,8 @@
         return runGroups(groupRanks, groupRequests, groupSeeds);
     if (*crashParts)
         return runCrashParts();
+    if (*crashRequests)
+        return runCrashRequests();
     if (*experiment)
         return runExperiment(options);
     return *capacity ? runCapacity() : 1;
--- a/direct/direct.cc
+++ b/direct/direct.cc
@@ -78,6 +78,7 @@
     PoisonSettings poisonSettings;
     poisonSettings.refuseAfter = detail::maxDeathsPerRequest;
     poison = PoisonRecords(poisonSettings);
+    trials = SuspectTrials(platform.instance);
     crashParts = CrashParts({}, [this](PartHash part, std::optional<double> chance, size_t crashCount) { onPartRefused(part, chance, crashCount); });
     retries = RetryBudget({ platform.retryRatio, platform.retryWindow });
     slackShare = SlackShare({ platform.retrySlack, platform.retryWindow }, Clock::now());
--- a/direct/peer-messages.cc
+++ b/direct/peer-messages.cc
@@ -218,6 +218,7 @@
 {
     livePeers.onStatus(status.sender, status.stopping, status.processorShare, Clock::now());
     onPeerProgress(status);
+    trials.onInstance(status.sender.instance, Clock::now());
     addKnownInstance(status.sender.instance);
     catchUp.onPeer(status.sender.instance, status.address, status.configuration, std::move(status.closedZones), Clock::now());
     if (status.leading) {
--- a/direct/peers.cc
+++ b/direct/peers.cc
@@ -1,8 +1,8 @@
 #include "direct/peers.h"
 
-#include "retry/crash-report.h"
 #include "gateway/async.h"
 #include "rejection/full-report.h"
+#include "retry/crash-report.h"
 #include "telemetry/log.h"
 
 #include <boost/asio/co_spawn.hpp>
--- a/direct/request.cc
+++ b/direct/request.cc
@@ -19,6 +19,8 @@
     constexpr Millis rejectedRetryAfter { 200 };
     // A part that is refused by mistake is cleared when a request that was under way is answered.
     constexpr Millis refusedPartRetryAfter { 5000 };
+    // The trial of a request that may crash endpoints is over by then, and its result known to all entries.
+    constexpr Millis heldRetryAfter { 500 };
     // A request that was lost in this many crashes is not sent to another endpoint.
     constexpr uint32_t maxCrashedAttempts = 2;
 
@@ -122,9 +124,11 @@
 
 std::optional<DirectRefusal> DirectEntry::State::refusalForCrashes(const DirectJob& job, TimePoint now) const
 {
-    for (const std::string& digest : job.digests)
-        if (poison.verdict(digest, now) == PoisonVerdict::Refuse)
-            return DirectRefusal { 422, Reason::Poisoned, Outcome::NotRun, Millis(0) };
+    const SuspectDecision decision = trials.decide(poison, job.digests, now);
+    if (decision == SuspectDecision::Refuse)
+        return DirectRefusal { 422, Reason::Poisoned, Outcome::NotRun, Millis(0) };
+    if (decision == SuspectDecision::Hold)
+        return DirectRefusal { 503, Reason::Poisoned, Outcome::NotRun, detail::heldRetryAfter };
     if (!crashParts.isRefused(job.caller.promptParts, now))
         return std::nullopt;
     return DirectRefusal { 503, Reason::Poisoned, Outcome::NotRun, detail::refusedPartRetryAfter };
@@ -159,7 +163,7 @@
                 co_await refuse(responder, job, response);
             co_return;
         }
-        const DirectAttemptResult result = co_await attempt(request, responder, job);
+        const DirectAttemptResult result = co_await attemptWithCare(request, responder, job);
         if (result.outcome == Outcome::Answered)
             co_return;
         if (!mayRetry(job, result)) {
@@ -170,6 +174,19 @@
     }
 }
 
+Task<DirectAttemptResult> DirectEntry::State::attemptWithCare(const HttpRequest& request, Responder& responder, DirectJob& job)
+{
+    const std::string suspect = trials.onBegun(poison, job.digests, Clock::now());
+    const DirectAttemptResult result = co_await attempt(request, responder, job);
+    if (suspect.empty())
+        co_return result;
+    trials.onEnded(suspect);
+    const std::string verdict(poisonVerdictName(poison.verdict(suspect, Clock::now())));
+    metrics.count("orioletrail_request_trials_total", Metrics::label("verdict", verdict));
+    log(LogLevel::Warning, "request tried that may crash endpoints", { { "request", job.caller.id }, { "digest", suspect }, { "run", std::string(outcomeName(result.outcome)) }, { "deaths", std::to_string(poison.deathCount(suspect)) }, { "verdict", verdict } });
+    co_return result;
+}
+
 void DirectEntry::State::onEvents(DirectJob& job, TimePoint sent)
 {
     const TimePoint now = Clock::now();
--- a/direct/state.h
+++ b/direct/state.h
@@ -22,6 +22,7 @@
 #include "retry/crash-parts.h"
 #include "retry/poison.h"
 #include "retry/slack-share.h"
+#include "retry/suspect-trials.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -187,6 +188,8 @@
     // false if there was none in time.
     Task<bool> holdAnswer(Responder&, const DirectJob&, size_t bytes);
     Task<DirectAttemptResult> attempt(const HttpRequest&, Responder&, DirectJob&);
+    // The same, as a trial if the request may crash its endpoint.
+    Task<DirectAttemptResult> attemptWithCare(const HttpRequest&, Responder&, DirectJob&);
     // Determines outcome and reason of an attempt whose answer was not streamed whole.
     DirectAttemptResult classifyAttempt(DirectJob&, const HttpResult&, const EndpointHead&, std::string body);
     void onAttemptEnded(DirectJob&, const DirectAttemptResult&, const HttpResult&, const EndpointHead&);
@@ -307,6 +310,7 @@
     std::map<std::string, std::shared_ptr<Target>, std::less<>> targets;
     std::unique_ptr<Dispatcher> dispatcher;
     PoisonRecords poison;
+    SuspectTrials trials;
     CrashEvidence crashes;
     CrashParts crashParts;
     RetryBudget retries;
--- a/entry/entry.cc
+++ b/entry/entry.cc
@@ -61,6 +61,7 @@
 {
     retryBudget.setExtra(detail::retriesAfterStart);
     accountRetryBudget.setExtra(detail::retriesAfterStart);
+    trials = SuspectTrials(settings.name);
 }
 
 bool Entry::State::start(std::string& reason)
--- a/entry/link.cc
+++ b/entry/link.cc
@@ -45,7 +45,7 @@
     frame.kind = FrameKind::Failed;
     frame.outcome = outcome;
     frame.reason = reason;
-    push(std::move(frame));
+    m_failedHere = push(std::move(frame)) || m_failedHere;
 }
 
 Task<std::optional<Frame>> AttemptStream::nextFrame(TimePoint until)
--- a/entry/link.h
+++ b/entry/link.h
@@ -35,8 +35,12 @@
 
     bool isIdempotent() const { return m_idempotent; }
 
+    // True if fail() ended the stream.
+    bool isFailedHere() const { return m_failedHere; }
+
 private:
     std::deque<Frame> m_frames;
+    bool m_failedHere = false;
     uint32_t m_expectedNumber = 0;
     bool m_ended = false;
     bool m_idempotent;
@@ -117,6 +121,9 @@
     void send(const Message&);
 
     // Configuration revision that the sidecar is known to have.
+    // Random start number of the sidecar, 0 before it has answered.
+    uint64_t peerIncarnation() const { return m_peerIncarnation; }
+
     uint64_t peerRevision() const { return m_heartbeat.peerRevision(); }
     void setPeerRevision(uint64_t revision) { m_heartbeat.setPeerRevision(revision); }
 
--- a/entry/request.cc
+++ b/entry/request.cc
@@ -105,6 +105,8 @@
     contexts.insert(&context);
     co_await admitAndForward(request, responder, context);
     contexts.erase(&context);
+    if (!context.trial.empty())
+        trials.onEnded(context.trial);
     addToHistory(std::move(context));
     metrics.observeLatency("orioletrail_request_seconds", Clock::now() - receivedAt);
 }
@@ -244,12 +246,8 @@
 std::optional<Refusal> Entry::State::checkAdmission(RequestContext& context)
 {
     const TimePoint now = Clock::now();
-    if (poisonRecords.size()) {
-        const PoisonVerdict verdict = poisonRecords.verdict(context.contentDigest, now);
-        if (verdict == PoisonVerdict::Refuse)
-            return Refusal { 422, Reason::Poisoned, Outcome::NotRun, "endpoints died while running this request" };
-        context.runAlone = verdict == PoisonVerdict::RunAlone;
-    }
+    if (const std::optional<Refusal> refusal = checkPoison(context, now))
+        return refusal;
     const auto entries = static_cast<uint32_t>(view.config->instances.size());
     const Reason reason = fairShare.admit({ context.account, context.service, context.accountLimit, entries, serviceCapacity(context.service) });
     if (reason != Reason::None)
@@ -259,6 +257,24 @@
     return std::nullopt;
 }
 
+std::optional<Refusal> Entry::State::checkPoison(RequestContext& context, TimePoint now)
+{
+    if (!poisonRecords.size())
+        return std::nullopt;
+    for (const auto& [name, instance] : view.config->instances)
+        if (!instance.leaving)
+            trials.onInstance(name, now);
+    const std::span<const std::string> digests(&context.contentDigest, 1);
+    const SuspectDecision decision = trials.decide(poisonRecords, digests, now);
+    if (decision == SuspectDecision::Refuse)
+        return Refusal { 422, Reason::Poisoned, Outcome::NotRun, "endpoints died while running this request" };
+    if (decision == SuspectDecision::Hold)
+        return Refusal { 503, Reason::Poisoned, Outcome::NotRun, "endpoints died while running this request; it is being tried" };
+    context.trial = trials.onBegun(poisonRecords, digests, now);
+    context.runAlone = poisonRecords.verdict(context.contentDigest, now) != PoisonVerdict::Run;
+    return std::nullopt;
+}
+
 std::optional<Refusal> Entry::State::checkDrain(const RequestContext& context, bool isTaken) const
 {
     if (!drainPlan)
@@ -427,6 +443,7 @@
     if (result.outcome == Outcome::MayHaveRun)
         link->cancelAttempt(context.attemptId);
     link->removeAttempt(context.attemptId);
+    result.isFailedHere = context.stream->isFailedHere();
     context.stream = nullptr;
     co_return result;
 }
@@ -537,21 +554,27 @@
         context.historyRecord.outcome = Outcome::Answered;
         refusals.onAnswer(detail::currentUnixMinute(), context.service);
         answerTimes.onAnswered(context.service, std::chrono::duration_cast<Millis>(Clock::now() - context.sentAt));
-        if (poisonRecords.size() && poisonRecords.onCompleted(context.contentDigest, Clock::now()))
+        if (poisonRecords.onCompleted(context.contentDigest, Clock::now()))
             sendPoisonReport(context.contentDigest);
     } else if (result.outcome == Outcome::MayHaveRun && result.reason == Reason::EndpointDied) {
-        // The sidecar reports the same death, unless it has died too; attempts that overlap count once.
-        const TimePoint now = Clock::now();
-        const uint64_t process = hash64(format(context.attemptId), hash64(context.triedEndpoints.back()));
-        const uint32_t deaths = poisonRecords.onDeath(context.contentDigest, { process, context.sentAt, now }, now);
-        log(LogLevel::Warning, "request lost because its endpoint ended", { { "request", context.requestId }, { "digest", context.contentDigest }, { "endpoint", context.triedEndpoints.back() }, { "deaths", std::to_string(deaths) } });
-        sendPoisonReport(context.contentDigest);
         context.runAlone = true;
+        // A sidecar reports the death itself, unless it has ended too.
+        if (result.isFailedHere)
+            onSidecarEnded(context);
     }
     if (isLogged(LogLevel::Debug))
         log(LogLevel::Debug, "attempt ended", { { "request", context.requestId }, { "attempt", format(context.attemptId) }, { "run", std::string(outcomeName(result.outcome)) }, { "reason", std::string(reasonName(result.reason)) } });
 }
 
+void Entry::State::onSidecarEnded(const RequestContext& context)
+{
+    const TimePoint now = Clock::now();
+    const uint64_t process = hash64(context.triedEndpoints.back(), context.link->peerIncarnation());
+    const uint32_t deaths = poisonRecords.onDeath(context.contentDigest, { process, context.sentAt, now }, now);
+    log(LogLevel::Warning, "request lost because its endpoint ended", { { "request", context.requestId }, { "digest", context.contentDigest }, { "endpoint", context.triedEndpoints.back() }, { "deaths", std::to_string(deaths) } });
+    sendPoisonReport(context.contentDigest);
+}
+
 void Entry::State::onPoisonReport(const PoisonReport& report)
 {
     if (!poisonRecords.merge(toPoisonEvidence(report), Clock::now()))
--- a/entry/state.h
+++ b/entry/state.h
@@ -8,6 +8,7 @@
 #include "entry/entry.h"
 #include "entry/link.h"
 #include "operator/command.h"
+#include "retry/suspect-trials.h"
 #include "telemetry/history.h"
 #include "telemetry/refusals.h"
 #include "transport/poison-report.h"
@@ -42,6 +43,8 @@
     bool idempotent = false;
     // The endpoint must run nothing else meanwhile, since an earlier attempt may have crashed one.
     bool runAlone = false;
+    // Set while the request is run as a trial; see SuspectTrials.
+    std::string trial;
     bool callerGone = false;
     // The process ends before the request has its answer.
     bool isCutOff = false;
@@ -66,6 +69,8 @@
 struct AttemptResult {
     Outcome outcome = Outcome::MayHaveRun;
     Reason reason = Reason::None;
+    // This entry ended the attempt, not the sidecar.
+    bool isFailedHere = false;
 };
 
 // An error answer to the caller.
@@ -128,10 +133,14 @@
     bool shouldRetry(const RequestContext&, const AttemptResult&);
     // Takes a retry from the budgets of the service and the account, or returns false if one is empty.
     bool takeRetry(const RequestContext&);
+    // The sidecar that ran the request's attempt has started anew: counts a death.
+    void onSidecarEnded(const RequestContext&);
     // A sidecar reported a request that crashes endpoints: passes on what is news.
     void onPoisonReport(const PoisonReport&);
     // Tells all sidecars what is known of the request.
     void sendPoisonReport(std::string_view digest);
+    // Refuses a request that may crash endpoints, or has it run alone.
+    std::optional<Refusal> checkPoison(RequestContext&, TimePoint);
     // Updates history, refusal counts and poison records.
     void onAttemptEnded(RequestContext&, const AttemptResult&);
     Task<> sendRefusal(Responder&, RequestContext&, const Refusal&);
@@ -211,6 +220,7 @@
     RetryBudget retryBudget;
     RetryBudget accountRetryBudget;
     PoisonRecords poisonRecords;
+    SuspectTrials trials;
     // Configuration revisions that the sidecars reported in heartbeats, by endpoint name; 0 if not
     // connected. On the control thread.
     std::map<std::string, uint64_t> sidecarRevisions;
--- a/fakes/main.cc
+++ b/fakes/main.cc
@@ -60,6 +60,7 @@
     replica->add_option("--events", replicaSettings.eventCount);
     addMillisFlag(*replica, "--event-interval-ms", replicaSettings.eventInterval);
     replica->add_option("--born", replicaSettings.born);
+    addMillisFlag(*replica, "--crash-delay-ms", replicaSettings.crashDelay);
     ServiceFakeSettings serviceSettings;
     CLI::App* service = app.add_subcommand("service");
     addCommonFlags(*service, serviceSettings.common);
--- a/fakes/replica.cc
+++ b/fakes/replica.cc
@@ -76,8 +76,10 @@
             }
             m_server.writeRecord({ { "what", "run" }, { "request", request.header("X-Request-Id") }, { "target", request.target }, { "account", request.header("X-Tenant") },
                 { "key", request.header("Authorization") }, { "timeLeft", request.header("X-Deadline-Ms") }, { "from", request.header("Last-Event-Id") } });
-            if (request.target.find("crash") != std::string::npos)
+            if (request.target.find("crash") != std::string::npos) {
+                co_await sleepFor(m_settings.crashDelay);
                 std::_Exit(1);
+            }
             if (fault == "unmarked") {
                 const HttpResponse answer { unavailable, answerHeaders(request), "failed" };
                 co_await responder.respond(answer);
--- a/fakes/replica.h
+++ b/fakes/replica.h
@@ -1,7 +1,7 @@
 // Stand-in for an endpoint of the platform, model engine or plain service. It rejects requests whose
 // X-Expect-Replica header does not hold its name, and answers the others with a stream of events for targets under
 // /stream/, else with a short body. Records requests as "run" or "rejected". A request with "crash" in its target
-// ends the process, as does one with the part "dead" in its prompt when its first event is due.
+// ends the process after crashDelay, as does one with the part "dead" in its prompt when its first event is due.
 // Fault modes:
 // - "misdirect": rejects the request with 421, as another endpoint at this address would.
 // - "refuse": rejects the request with 503 without running it.
@@ -35,6 +35,8 @@
     // Number of events in a stream, and the time between them.
     int eventCount = 10;
     Millis eventInterval { 20 };
+    // How long a request with "crash" in its target runs before the process ends.
+    Millis crashDelay { 0 };
     // Start of the process as it tells it in reports.
     uint64_t born = 0;
 };
--- a/model/request-crash-simulation-test.cc
+++ b/model/request-crash-simulation-test.cc
@@ -21,3 +21,26 @@
     CHECK(worstLate <= 3);
     CHECK(total.soundRefused == 0);
 }
+
+// Fails if copies that come at once count as one death, or if requests that endpoints lose together are refused for good.
+TEST_CASE("few attempts follow the third crash however many copies come at once, and sound requests are not refused for good")
+{
+    constexpr uint64_t seeds = 20;
+    for (const int entries : { 1, 4, 16 }) {
+        for (const int copies : { 2, 4, 8, 20 }) {
+            RequestCrashScenario scenario;
+            scenario.entries = entries;
+            scenario.hasRestarts = entries > 1;
+            scenario.copies = copies;
+            scenario.roundMs = 6000;
+            CAPTURE(entries);
+            CAPTURE(copies);
+            for (uint64_t seed = 1; seed <= seeds; ++seed) {
+                CAPTURE(seed);
+                const RequestCrashFigures figures = simulateRequestCrashes(seed, scenario);
+                CHECK(figures.sentLate <= 3);
+                CHECK(figures.soundRefused == 0);
+            }
+        }
+    }
+}
--- a/model/request-crash-simulation.cc
+++ b/model/request-crash-simulation.cc
@@ -1,6 +1,6 @@
 #include "model/request-crash-simulation.h"
 
-#include "retry/poison.h"
+#include "retry/suspect-trials.h"
 
 #include <algorithm>
 #include <random>
@@ -22,12 +22,13 @@
     // request or together for another reason, in steps of 10 ms.
     class CrashDay {
     public:
-        explicit CrashDay(uint64_t seed)
-            : m_random(static_cast<std::mt19937::result_type>(seed))
+        CrashDay(uint64_t seed, const RequestCrashScenario& scenario)
+            : m_scenario(scenario)
+            , m_random(static_cast<std::mt19937::result_type>(seed))
             , m_poisonFrom(3000 + static_cast<int>(m_random() % 12'000))
         {
-            for (int entry = 0; entry < 4; ++entry)
-                m_entries.push_back({ makeRecords() });
+            for (int entry = 0; entry < m_scenario.entries; ++entry)
+                addEntry();
             m_endpoints.resize(4 + m_random() % 4);
         }
 
@@ -35,12 +36,12 @@
         {
             for (m_now = 0; m_now < 60'000; m_now += step) {
                 disturb();
-                if (m_now >= m_poisonFrom && chance(15))
-                    receive("poison", pickEntry(), 2);
+                if (m_now >= m_poisonFrom && m_scenario.copies && m_random() % static_cast<unsigned>(m_scenario.roundMs) < step)
+                    receiveCopies("poison", m_scenario.copies, m_scenario.attempts);
                 if (chance(150))
-                    receive("popular", pickEntry(), 2);
+                    receiveCopies("popular", 1, 2);
                 if (chance(150))
-                    receive("sound-" + std::to_string(++m_soundCount), pickEntry(), 2);
+                    receiveCopies("sound-" + std::to_string(++m_soundCount), m_scenario.soundCopies, 2);
                 endAttempts();
                 if (m_now % 100 == 0)
                     exchange();
@@ -54,7 +55,9 @@
         static constexpr int stableMs = 3000;
 
         struct EntryState {
+            std::string name;
             PoisonRecords records;
+            SuspectTrials trials;
             int disturbedAt = -stableMs;
             int cutUntil = 0;
         };
@@ -75,8 +78,22 @@
             int endsAt = 0;
             int attemptsLeft = 0;
             int lostAt = 0;
+            std::string trial {};
         };
 
+        void addEntry()
+        {
+            const std::string name = "e" + std::to_string(m_entries.size());
+            m_entries.push_back({ name, makeRecords(), SuspectTrials(name), m_now ? m_now : -stableMs });
+        }
+
+        void receiveCopies(const std::string& request, int copies, int attempts)
+        {
+            const size_t first = pickEntry();
+            for (int copy = 0; copy < copies; ++copy)
+                receive(request, (first + static_cast<size_t>(copy)) % m_entries.size(), attempts);
+        }
+
         bool chance(unsigned perMille) { return m_random() % 1000 < perMille; }
         size_t pickEntry() { return m_random() % m_entries.size(); }
 
@@ -87,9 +104,10 @@
 
         void disturb()
         {
-            if (chance(2)) {
+            if (chance(2) && m_scenario.hasRestarts) {
                 EntryState& entry = m_entries[pickEntry()];
                 entry.records = makeRecords();
+                entry.trials = SuspectTrials(entry.name);
                 entry.disturbedAt = m_now;
             }
             if (chance(2)) {
@@ -97,9 +115,9 @@
                 entry.cutUntil = m_now + 4000;
             }
             if (m_now == 30'000)
-                m_entries.push_back({ makeRecords(), m_now });
+                addEntry();
             if (m_now % 8000 == 7990)
-                for (size_t endpoint = 0; endpoint < m_endpoints.size() / 2; ++endpoint)
+                for (size_t endpoint = 0; endpoint < m_endpoints.size() / (m_scenario.endsAll ? 1 : 2); ++endpoint)
                     crash(endpoint);
         }
 
@@ -113,27 +131,24 @@
             state.isSilent = chance(300);
         }
 
-        bool isRefused(const std::string& request, size_t entry) const
-        {
-            const auto digests = digestsOf(request);
-            return std::any_of(digests.begin(), digests.end(), [&](const std::string& digest) { return m_entries[entry].records.verdict(digest, time(m_now)) == PoisonVerdict::Refuse; });
-        }
-
         void receive(const std::string& request, size_t entry, int attemptsLeft)
         {
-            if (isRefused(request, entry)) {
-                m_figures.soundRefused += request != "poison";
+            EntryState& state = m_entries[entry];
+            const std::vector<std::string> digests = digestsOf(request);
+            const bool isPoison = request == "poison";
+            m_figures.sound += !isPoison;
+            const SuspectDecision decision = state.trials.decide(state.records, digests, time(m_now));
+            if (decision != SuspectDecision::Run) {
+                (decision == SuspectDecision::Refuse ? m_figures.soundRefused : m_figures.soundHeld) += !isPoison;
                 return;
             }
             const size_t endpoint = m_random() % m_endpoints.size();
             if (m_endpoints[endpoint].upFrom > m_now)
                 return;
-            const bool isPoison = request == "poison";
-            const EntryState& state = m_entries[entry];
             const bool isStable = m_now - state.disturbedAt >= stableMs && m_now - state.cutUntil >= stableMs;
             m_figures.sent += isPoison;
             m_figures.sentLate += isPoison && isStable && m_thirdCrash && m_now - *m_thirdCrash > stableMs;
-            m_attempts.push_back({ request, entry, endpoint, m_endpoints[endpoint].process, m_now, m_now + (isPoison ? 100 : 30), attemptsLeft - 1, 0 });
+            m_attempts.push_back({ request, entry, endpoint, m_endpoints[endpoint].process, m_now, m_now + (isPoison ? 100 : 30), attemptsLeft - 1, 0, state.trials.onBegun(state.records, digests, time(m_now)) });
         }
 
         void endAttempts()
@@ -151,6 +166,7 @@
                         m_thirdCrash = m_now;
                     onLost(attempt);
                 } else {
+                    m_entries[attempt.entry].trials.onEnded(attempt.trial);
                     for (const std::string& digest : digestsOf(attempt.request))
                         m_entries[attempt.entry].records.onCompleted(digest, time(m_now));
                 }
@@ -162,14 +178,18 @@
         {
             if (!attempt.lostAt)
                 attempt.lostAt = m_now;
-            // A silent end is known once the registration has lapsed.
-            const bool isKnown = !m_endpoints[attempt.endpoint].isSilent || m_now - attempt.lostAt >= 3600;
-            if (!isKnown) {
+            // A silent end is known once the registration has lapsed. The attempt lasted until its deadline, and there is
+            // no time left for another one.
+            const bool isSilent = m_endpoints[attempt.endpoint].isSilent;
+            if (isSilent && m_now - attempt.lostAt < 3600) {
                 m_attempts.push_back(attempt);
                 return;
             }
+            m_entries[attempt.entry].trials.onEnded(attempt.trial);
             for (const std::string& digest : digestsOf(attempt.request))
                 m_entries[attempt.entry].records.onDeath(digest, { attempt.endpoint * 1000 + attempt.process, time(attempt.sentAt), time(attempt.lostAt) }, time(m_now));
+            if (isSilent)
+                return;
             if (attempt.attemptsLeft)
                 receive(attempt.request, attempt.entry, attempt.attemptsLeft);
             else if (!attempt.request.starts_with("sound") || chance(500))
@@ -178,13 +198,18 @@
 
         void exchange()
         {
-            for (EntryState& from : m_entries)
-                for (EntryState& to : m_entries)
-                    if (&from != &to && from.cutUntil <= m_now && to.cutUntil <= m_now)
-                        for (const PoisonEvidence& evidence : from.records.report(time(m_now)))
-                            to.records.merge(evidence, time(m_now));
+            for (EntryState& from : m_entries) {
+                for (EntryState& to : m_entries) {
+                    if (&from == &to || from.cutUntil > m_now || to.cutUntil > m_now)
+                        continue;
+                    to.trials.onInstance(from.name, time(m_now));
+                    for (const PoisonEvidence& evidence : from.records.report(time(m_now)))
+                        to.records.merge(evidence, time(m_now));
+                }
+            }
         }
 
+        RequestCrashScenario m_scenario;
         std::mt19937 m_random;
         int m_poisonFrom;
         int m_now = 0;
@@ -199,9 +224,9 @@
 
 } // namespace detail
 
-RequestCrashFigures simulateRequestCrashes(uint64_t seed)
+RequestCrashFigures simulateRequestCrashes(uint64_t seed, const RequestCrashScenario& scenario)
 {
-    detail::CrashDay day(seed);
+    detail::CrashDay day(seed, scenario);
     day.play();
     return day.figures();
 }
--- a/retry/poison-test.cc
+++ b/retry/poison-test.cc
@@ -42,7 +42,7 @@
     CHECK(records.verdict("d", start + std::chrono::hours(1)) == PoisonVerdict::Run);
 }
 
-TEST_CASE("deaths in quick succession count each, those of attempts that overlapped count once")
+TEST_CASE("deaths in quick succession count each, those of attempts that overlapped count once if the request has completed before")
 {
     PoisonRecords records = recordsThatRefuseAfterThree();
     const TimePoint now = start + Millis(400);
@@ -51,9 +51,93 @@
     CHECK(records.onDeath("chain", makeDeath(2, 101, 200), now) == 2);
     CHECK(records.onDeath("chain", makeDeath(3, 201, 300), now) == 3);
     CHECK(records.verdict("chain", now) == PoisonVerdict::Refuse);
+    records.onCompleted("popular", start);
     for (uint64_t process = 1; process <= 9; ++process)
         CHECK(records.onDeath("popular", makeDeath(process, static_cast<int>(process), 300 + static_cast<int>(process)), now) == 1);
     CHECK(records.verdict("popular", now) == PoisonVerdict::RunAlone);
+    // Two more ends of many endpoints without a completion in between.
+    for (int time = 1; time <= 2; ++time)
+        for (uint64_t process = 1; process <= 3; ++process)
+            records.onDeath("popular", makeDeath(process + 100 * static_cast<uint64_t>(time), time * 1000, time * 1000 + 300), now);
+    CHECK(records.verdict("popular", now) == PoisonVerdict::Refuse);
+}
+
+// Fails if the copies of a request that crash endpoints at once count as one death, however many there are.
+TEST_CASE("a request that never completed and was lost with several endpoints at once is tried once more, then refused")
+{
+    for (const int copies : { 3, 4, 8, 20 }) {
+        CAPTURE(copies);
+        PoisonRecords records = recordsThatRefuseAfterThree();
+        for (int copy = 0; copy < copies; ++copy)
+            records.onDeath("d", makeDeath(static_cast<uint64_t>(copy + 1), copy, 60 + copy), start + Millis(100));
+        CHECK(records.verdict("d", start + Millis(100)) == PoisonVerdict::Trial);
+        CHECK(records.verdict("d", start + Millis(300'000)) == PoisonVerdict::Trial);
+        records.onDeath("d", makeDeath(99, 6000, 6060), start + Millis(6060));
+        CHECK(records.verdict("d", start + Millis(6060)) == PoisonVerdict::Refuse);
+        CHECK(records.verdict("d", start + Millis(120'000)) == PoisonVerdict::Refuse);
+    }
+    PoisonRecords records = recordsThatRefuseAfterThree();
+    records.onDeath("d", makeDeath(1, 0, 60), start + Millis(100));
+    CHECK(records.verdict("d", start + Millis(100)) == PoisonVerdict::RunAlone);
+    records.onDeath("d", makeDeath(2, 0, 61), start + Millis(100));
+    CHECK(records.verdict("d", start + Millis(100)) == PoisonVerdict::Trial);
+}
+
+TEST_CASE("what another instance knows of a request's completion counts against deaths that came later")
+{
+    PoisonRecords first = recordsThatRefuseAfterThree();
+    PoisonRecords second = recordsThatRefuseAfterThree();
+    second.onCompleted("popular", start);
+    for (uint64_t process = 1; process <= 4; ++process)
+        first.onDeath("popular", makeDeath(process, 100, 160), start + Millis(160));
+    CHECK(first.verdict("popular", start + Millis(160)) == PoisonVerdict::Trial);
+    sendReport(first, second, start + Millis(200));
+    CHECK(second.verdict("popular", start + Millis(200)) == PoisonVerdict::RunAlone);
+    sendReport(second, first, start + Millis(250));
+    CHECK(first.verdict("popular", start + Millis(250)) == PoisonVerdict::RunAlone);
+}
+
+// Fails if attempts that were sent just before their endpoints ended together seem to follow the ends.
+TEST_CASE("a request is not refused because it was sent at the moment at which many endpoints ended")
+{
+    for (const int sentBefore : { 1, 5, 10, 30 }) {
+        CAPTURE(sentBefore);
+        PoisonRecords records = recordsThatRefuseAfterThree();
+        for (uint64_t process = 1; process <= 6; ++process)
+            records.onDeath("d", makeDeath(process, 100 - sentBefore, 100), start + Millis(100));
+        CHECK(records.verdict("d", start + Millis(100)) == PoisonVerdict::Trial);
+    }
+}
+
+// Fails if requests that ran next to the one at fault are taken for its like.
+TEST_CASE("deaths that a request with more of them shares are not held against another")
+{
+    PoisonRecords records = recordsThatRefuseAfterThree();
+    const TimePoint now = start + Millis(20'000);
+    for (int time = 0; time < 4; ++time) {
+        const RequestDeath death = makeDeath(static_cast<uint64_t>(time + 1), time * 4000, time * 4000 + 60);
+        records.onDeath("deadly", death, now);
+        if (time)
+            records.onDeath("bystander", death, now);
+    }
+    CHECK(records.verdict("deadly", now) == PoisonVerdict::Refuse);
+    CHECK(records.verdict("bystander", now) == PoisonVerdict::RunAlone);
+    CHECK(records.deathCount("bystander") == 0);
+    // One that has completed explains nothing.
+    records.onCompleted("deadly", now);
+    CHECK(records.verdict("bystander", now) == PoisonVerdict::Refuse);
+}
+
+// Fails if an endpoint that is back under its identity counts only once, while its new start is not known.
+TEST_CASE("a process that starts again under the identity of its predecessor counts as another one")
+{
+    PoisonRecords records = recordsThatRefuseAfterThree();
+    CHECK(records.onDeath("d", makeDeath(1, 0, 60), start + Millis(60)) == 1);
+    CHECK(records.onDeath("d", makeDeath(1, 20, 60), start + Millis(60)) == 1);
+    CHECK(records.onDeath("d", makeDeath(1, 3000, 3060), start + Millis(3060)) == 2);
+    CHECK(records.onDeath("d", makeDeath(1, 3010, 3060), start + Millis(3060)) == 2);
+    CHECK(records.onDeath("d", makeDeath(1, 6000, 6060), start + Millis(6060)) == 3);
+    CHECK(records.verdict("d", start + Millis(6060)) == PoisonVerdict::Refuse);
 }
 
 TEST_CASE("deaths that different instances have seen add up at each of them")
@@ -98,10 +182,10 @@
         records.onDeath("d", makeDeath(process, sent, sent + 90), start + Millis(sent + 90));
     const TimePoint last = start + Millis(290);
     CHECK(records.verdict("d", last + Millis(119'000)) == PoisonVerdict::Refuse);
-    CHECK(records.verdict("d", last + Millis(120'000)) == PoisonVerdict::RunAlone);
+    CHECK(records.verdict("d", last + Millis(120'000)) == PoisonVerdict::Trial);
     CHECK(records.onDeath("d", makeDeath(4, 130'000, 130'100), start + Millis(130'100)) == 4);
     CHECK(records.verdict("d", start + Millis(130'100 + 239'000)) == PoisonVerdict::Refuse);
-    CHECK(records.verdict("d", start + Millis(130'100 + 240'000)) == PoisonVerdict::RunAlone);
+    CHECK(records.verdict("d", start + Millis(130'100 + 240'000)) == PoisonVerdict::Trial);
 }
 
 TEST_CASE("an instance that starts anew learns of old deaths, those of refused requests first")
--- a/retry/poison.cc
+++ b/retry/poison.cc
@@ -1,5 +1,7 @@
 #include "retry/poison.h"
 
+#include "base/digest.h"
+
 #include <algorithm>
 #include <span>
 
@@ -8,8 +10,12 @@
 namespace detail {
 
     // Times of peers are late by the delay of their messages, so an attempt that followed a death may
-    // seem to overlap it by this much.
+    // seem to overlap it by this much. It did overlap if both were also lost within lossTolerance.
     constexpr Millis overlapTolerance { 10 };
+    constexpr Millis lossTolerance { 2 };
+
+    // An endpoint that has ended is not back sooner.
+    constexpr Millis minRestartTime { 1000 };
 
     // Settled deaths that are kept for each death that may be kept.
     constexpr size_t settledPerDeath = 8;
@@ -21,20 +27,47 @@
 
 } // namespace detail
 
+std::string_view poisonVerdictName(PoisonVerdict verdict)
+{
+    switch (verdict) {
+    case PoisonVerdict::Run:
+        return "run";
+    case PoisonVerdict::RunAlone:
+        return "run-alone";
+    case PoisonVerdict::Trial:
+        return "trial";
+    case PoisonVerdict::Refuse:
+        return "refuse";
+    }
+    return "";
+}
+
 uint32_t PoisonRecords::onDeath(std::string_view digest, const RequestDeath& death, TimePoint now)
 {
     Record& record = recordOf(digest, now);
-    addDeath(record, death, now);
+    addDeath(record, { identify(record, death), death.sentAt, death.lostAt }, now);
     return countDeaths(record);
 }
 
+uint64_t PoisonRecords::identify(const Record& record, const RequestDeath& death)
+{
+    uint64_t process = death.process;
+    for (uint64_t generation = 1;; ++generation) {
+        const auto known = std::find_if(record.deaths.begin(), record.deaths.end(), [&](const RequestDeath& other) { return other.process == process; });
+        if (known == record.deaths.end() || death.sentAt < known->lostAt + detail::minRestartTime)
+            return process;
+        process = hash64(std::to_string(process), generation);
+    }
+}
+
 bool PoisonRecords::merge(const PoisonEvidence& evidence, TimePoint now)
 {
     const bool isKnown = m_records.contains(evidence.digest);
     if (!isKnown && evidence.deaths.empty())
         return false;
     Record& record = recordOf(evidence.digest, now);
-    bool isNews = evidence.clearedAgo && clear(record, now - *evidence.clearedAgo, now);
+    const bool wasCompleted = record.completedAt.has_value();
+    bool isNews = evidence.clearedAgo && (clear(record, now - *evidence.clearedAgo, now) || !wasCompleted);
     for (const PoisonEvidence::Death& death : evidence.deaths)
         isNews = addDeath(record, { death.process, now - death.sentAgo, now - death.lostAgo }, now) || isNews;
     return isNews;
@@ -42,6 +75,7 @@
 
 bool PoisonRecords::onCompleted(std::string_view digest, TimePoint now)
 {
+    m_completed.add(digest, now);
     const auto found = m_records.find(digest);
     return found != m_records.end() && clear(found->second, now, now);
 }
@@ -50,7 +84,7 @@
 {
     const bool isKnown = std::any_of(record.deaths.begin(), record.deaths.end(), [&](const RequestDeath& other) { return other.process == death.process; })
         || std::find(record.settled.begin(), record.settled.end(), death.process) != record.settled.end();
-    if (isKnown || (record.clearedAt && death.lostAt <= *record.clearedAt) || now - death.lostAt > m_settings.retention)
+    if (isKnown || (record.completedAt && death.lostAt <= *record.completedAt) || now - death.lostAt > m_settings.retention)
         return false;
     const auto position = std::upper_bound(record.deaths.begin(), record.deaths.end(), death, [](const RequestDeath& a, const RequestDeath& b) { return a.lostAt < b.lostAt; });
     record.deaths.insert(position, death);
@@ -60,13 +94,13 @@
     return true;
 }
 
-bool PoisonRecords::clear(Record& record, TimePoint clearedAt, TimePoint now)
+bool PoisonRecords::clear(Record& record, TimePoint completedAt, TimePoint now)
 {
-    const auto end = std::upper_bound(record.deaths.begin(), record.deaths.end(), clearedAt, [](TimePoint time, const RequestDeath& death) { return time < death.lostAt; });
+    record.completedAt = std::max(record.completedAt.value_or(completedAt), completedAt);
+    const auto end = std::upper_bound(record.deaths.begin(), record.deaths.end(), completedAt, [](TimePoint time, const RequestDeath& death) { return time < death.lostAt; });
     if (end == record.deaths.begin())
         return false;
     settle(record, end);
-    record.clearedAt = std::max(record.clearedAt.value_or(clearedAt), clearedAt);
     record.changedAt = now;
     return true;
 }
@@ -80,17 +114,57 @@
         record.settled.pop_front();
 }
 
-uint32_t PoisonRecords::countDeaths(const Record& record)
+std::vector<const RequestDeath*> PoisonRecords::unexplainedDeaths(const Record& record) const
 {
-    uint32_t count = 0;
+    std::vector<const RequestDeath*> deaths;
+    for (const RequestDeath& death : record.deaths)
+        deaths.push_back(&death);
+    if (deaths.size() < m_settings.refuseAfter)
+        return deaths;
+    for (const auto& [digest, other] : m_records) {
+        if (other.completedAt || other.deaths.size() <= record.deaths.size())
+            continue;
+        std::erase_if(deaths, [&other = other](const RequestDeath* death) {
+            return std::any_of(other.deaths.begin(), other.deaths.end(), [&](const RequestDeath& shared) { return shared.process == death->process; });
+        });
+    }
+    return deaths;
+}
+
+PoisonRecords::Charge PoisonRecords::chargeOf(const Record& record) const
+{
+    Charge charge;
     std::optional<TimePoint> lastLost;
-    for (const RequestDeath& death : record.deaths) {
-        if (lastLost && death.sentAt + detail::overlapTolerance < *lastLost)
+    std::optional<TimePoint> enoughLost;
+    for (const RequestDeath* death : unexplainedDeaths(record)) {
+        charge.isRepeated = charge.isRepeated || (enoughLost && death->sentAt > *enoughLost);
+        if (++charge.processes == m_settings.refuseAfter)
+            enoughLost = death->lostAt;
+        const bool mayFollow = lastLost && death->sentAt + detail::overlapTolerance >= *lastLost && death->lostAt >= *lastLost + detail::lossTolerance;
+        if (lastLost && death->sentAt < *lastLost && !mayFollow)
             continue;
-        lastLost = death.lostAt;
-        ++count;
+        lastLost = death->lostAt;
+        ++charge.separate;
     }
-    return count;
+    return charge;
+}
+
+uint32_t PoisonRecords::countDeaths(const Record& record) const
+{
+    const Charge charge = chargeOf(record);
+    return record.completedAt ? charge.separate : charge.processes;
+}
+
+bool PoisonRecords::hasCompleted(std::string_view digest) const
+{
+    const auto found = m_records.find(digest);
+    return found != m_records.end() && found->second.completedAt;
+}
+
+Millis PoisonRecords::sinceLastDeath(std::string_view digest, TimePoint now) const
+{
+    const auto found = m_records.find(digest);
+    return found == m_records.end() || found->second.deaths.empty() ? Millis(0) : detail::ageOf(found->second.deaths.back().lostAt, now);
 }
 
 uint32_t PoisonRecords::deathCount(std::string_view digest) const
@@ -109,12 +183,14 @@
 {
     if (record.deaths.empty() || isExpired(record, now))
         return PoisonVerdict::Run;
-    const uint32_t count = countDeaths(record);
-    if (count < m_settings.refuseAfter)
-        return PoisonVerdict::RunAlone;
+    const Charge charge = chargeOf(record);
+    const bool isInDoubt = !record.completedAt && charge.processes >= m_settings.trialAfter;
+    if (charge.separate < m_settings.refuseAfter && !(isInDoubt && charge.isRepeated))
+        return isInDoubt ? PoisonVerdict::Trial : PoisonVerdict::RunAlone;
     constexpr uint32_t maxDoublings = 8;
-    const Millis refusal = std::min(m_settings.maxRefusal, m_settings.refusal * (1U << std::min(maxDoublings, count - m_settings.refuseAfter)));
-    return now - record.deaths.back().lostAt < refusal ? PoisonVerdict::Refuse : PoisonVerdict::RunAlone;
+    const uint32_t excess = std::max(charge.separate, m_settings.refuseAfter) - m_settings.refuseAfter;
+    const Millis refusal = std::min(m_settings.maxRefusal, m_settings.refusal * (1U << std::min(maxDoublings, excess)));
+    return now - record.deaths.back().lostAt < refusal ? PoisonVerdict::Refuse : PoisonVerdict::Trial;
 }
 
 PoisonEvidence PoisonRecords::toEvidence(std::string_view digest, const Record& record, TimePoint now)
@@ -122,8 +198,8 @@
     PoisonEvidence evidence { std::string(digest), {} };
     for (const RequestDeath& death : record.deaths)
         evidence.deaths.push_back({ death.process, detail::ageOf(death.sentAt, now), detail::ageOf(death.lostAt, now) });
-    if (record.clearedAt)
-        evidence.clearedAgo = detail::ageOf(*record.clearedAt, now);
+    if (record.completedAt)
+        evidence.clearedAgo = detail::ageOf(*record.completedAt, now);
     return evidence;
 }
 
@@ -185,13 +261,14 @@
     const auto found = m_records.find(digest);
     if (found != m_records.end()) {
         if (isExpired(found->second, now))
-            found->second = { {}, std::nullopt, now, {} };
+            found->second = { {}, m_completed.find(digest), now, {} };
         return found->second;
     }
     if (m_records.size() >= m_settings.maxRecords)
         m_records.erase(std::min_element(m_records.begin(), m_records.end(), [](const auto& a, const auto& b) { return a.second.changedAt < b.second.changedAt; }));
     Record& record = m_records[std::string(digest)];
     record.changedAt = now;
+    record.completedAt = m_completed.find(digest);
     return record;
 }
 
--- a/retry/poison.h
+++ b/retry/poison.h
@@ -1,7 +1,7 @@
 // Detects requests that crash the endpoints that run them, so that they can be refused.
 #pragma once
 
-#include "base/types.h"
+#include "retry/completed-requests.h"
 
 #include <deque>
 #include <map>
@@ -28,13 +28,15 @@
 
     std::string digest;
     std::vector<Death> deaths;
-    // Time since an endpoint last completed the request after a death; nothing if none has.
+    // Time since an endpoint last completed the request; nothing if none is known to have.
     std::optional<Millis> clearedAgo {};
 };
 
 struct PoisonSettings {
-    // Number of endpoint deaths after which a request is refused.
+    // Number of endpoint deaths after which a request is refused, if it is likely to have caused them.
     uint32_t refuseAfter = 2;
+    // Number of endpoint deaths after which a request that has never completed is tried by few instances only.
+    uint32_t trialAfter = 2;
     // How long the request is refused after the death that led to it. Doubles with each further death,
     // up to maxRefusal.
     Millis refusal { 120'000 };
@@ -58,13 +60,23 @@
     Run,
     // Run with no other request at the same endpoint, so that a crash affects no other.
     RunAlone,
+    // It may be the cause of the deaths or not: run one attempt at a time; see SuspectTrials.
+    Trial,
     Refuse
 };
 
-// Collects endpoint deaths by request digest. The deaths of attempts that overlapped count once: when
-// endpoints end together, with their machine or zone, each of them may have been running the same
-// popular request. A request that causes deaths is sent again after each of them. A request that
-// completes is cleared, since it must have been running next to the one that caused the death.
+std::string_view poisonVerdictName(PoisonVerdict);
+
+// Collects endpoint deaths by request digest and weighs them with all that is known of the request.
+//
+// A request that crashes endpoints loses each process that runs it, however many at once, and never completes. A sound
+// one completes sooner or later, and is lost for one of these reasons:
+// - It ran next to the request at fault. That one has more deaths, and they account for those that both share.
+// - Endpoints ended together, with their machine or zone. If the request has completed before, the deaths of attempts that
+//   overlapped count once. If it never has, each counts, but they alone do not prove its fault: it is tried once more, one
+//   attempt at a time, and refused if that attempt is lost too.
+// - Its endpoints ended one after the other. After some such deaths without a completion it is refused as well.
+// A request that completes is cleared.
 class PoisonRecords {
 public:
     explicit PoisonRecords(const PoisonSettings& settings = {})
@@ -85,6 +97,12 @@
     // Whether and how the request may run.
     PoisonVerdict verdict(std::string_view digest, TimePoint now) const;
 
+    // True if an endpoint is known to have completed the request, before or after it was lost.
+    bool hasCompleted(std::string_view digest) const;
+
+    // Time since the last death that is held against the request; 0 if there is none.
+    Millis sinceLastDeath(std::string_view digest, TimePoint now) const;
+
     // What is known of one request.
     PoisonEvidence evidence(std::string_view digest, TimePoint now) const;
 
@@ -104,7 +122,7 @@
     struct Record {
         // In the order in which the attempts were lost.
         std::vector<RequestDeath> deaths;
-        std::optional<TimePoint> clearedAt;
+        std::optional<TimePoint> completedAt;
         TimePoint changedAt;
         // Processes whose deaths were cleared or dropped, the oldest first. Reports of them are ignored: their
         // times are later at each instance that passes them on, so that instances would add and clear the
@@ -112,18 +130,35 @@
         std::deque<uint64_t> settled;
     };
 
+    // What counts against a request.
+    struct Charge {
+        // Processes that ended while they ran the request, each once.
+        uint32_t processes = 0;
+        // The same, but attempts that overlapped count once.
+        uint32_t separate = 0;
+        // An attempt that was sent after `refuseAfter` processes had ended was lost too.
+        bool isRepeated = false;
+    };
+
     Record& recordOf(std::string_view digest, TimePoint now);
+    // The identity of the process that ended. One that starts again under the identity of its predecessor, because its
+    // start is not known, gets another one.
+    static uint64_t identify(const Record&, const RequestDeath&);
     bool addDeath(Record&, const RequestDeath&, TimePoint now);
     bool clear(Record&, TimePoint clearedAt, TimePoint now);
     // Drops the deaths before `end`.
     void settle(Record&, std::vector<RequestDeath>::iterator end);
     PoisonVerdict verdict(const Record&, TimePoint now) const;
-    static uint32_t countDeaths(const Record&);
+    // The deaths that no other request accounts for.
+    std::vector<const RequestDeath*> unexplainedDeaths(const Record&) const;
+    Charge chargeOf(const Record&) const;
+    uint32_t countDeaths(const Record&) const;
     bool isExpired(const Record&, TimePoint now) const;
     static PoisonEvidence toEvidence(std::string_view digest, const Record&, TimePoint now);
 
     PoisonSettings m_settings;
     std::map<std::string, Record, std::less<>> m_records;
+    CompletedRequests m_completed;
     // Digest of the record that was reported last in turn.
     std::string m_lastRepeated;
 };
--- a/sidecar/attempt-runner.cc
+++ b/sidecar/attempt-runner.cc
@@ -104,7 +104,7 @@
     }
     if (exclusiveAttempt)
         return Reason::OverLimit;
-    attempt.exclusive = attempt.open.runAlone || verdict == PoisonVerdict::RunAlone;
+    attempt.exclusive = attempt.open.runAlone || verdict != PoisonVerdict::Run;
     return Reason::None;
 }
 
--- a/tests/direct-cluster.cc
+++ b/tests/direct-cluster.cc
@@ -20,6 +20,8 @@
     constexpr int peerPortOffset = 4;
     constexpr int storeRelayPortOffset = 8;
     constexpr int firstEndpointPortOffset = 10;
+    // Of the endpoints beyond the usual ones, behind the ports of all entries.
+    constexpr int furtherEndpointPortOffset = 140;
     // Ports of the entries after the first.
     constexpr int secondEntryPortOffset = 20;
     constexpr int portsPerEntry = 10;
@@ -52,6 +54,13 @@
     return names;
 }
 
+std::string DirectCluster::zoneOf(const std::string& endpoint)
+{
+    if (endpoint == "m3" || endpoint == "p3" || endpoint == "p4")
+        return "z2";
+    return endpoint == "p5" || endpoint == "p6" ? "z3" : "z1";
+}
+
 std::string DirectCluster::serviceOf(const std::string& endpoint)
 {
     return endpoint.starts_with('m') ? "model" : "print";
@@ -97,13 +106,16 @@
 DirectCluster::DirectCluster(DirectClusterOptions options, std::optional<int> entryOutputDescriptor)
     : m_basePort(reservePorts())
     , m_options(std::move(options))
+    , m_names(endpointNames())
     , m_entryOutputDescriptor(entryOutputDescriptor)
 {
+    for (int number = 3; number <= m_options.plainEndpoints; ++number)
+        m_names.push_back("p" + std::to_string(number));
     startStore();
-    for (const std::string& name : endpointNames())
+    for (const std::string& name : m_names)
         startEndpoint(name);
     putConfiguration(1);
-    for (const std::string& name : endpointNames())
+    for (const std::string& name : m_names)
         registerEndpoint(name);
     startEntry();
 }
@@ -121,7 +133,7 @@
 {
     ++m_startCounts[name];
     m_endpoints[name].reset();
-    m_endpoints[name] = std::make_unique<Process>(std::vector<std::string> { binaryPath("orioletrail-fakes"), "replica", "--name", name, "--listen", localAddress(endpointPort(name)), "--record", m_directory.path(name), "--born", std::to_string(m_startCounts[name]) });
+    m_endpoints[name] = std::make_unique<Process>(std::vector<std::string> { binaryPath("orioletrail-fakes"), "replica", "--name", name, "--listen", localAddress(endpointPort(name)), "--record", m_directory.path(name), "--born", std::to_string(m_startCounts[name]), "--crash-delay-ms", std::to_string(m_options.crashDelay.count()) });
 }
 
 void DirectCluster::startEntry(int entry)
@@ -161,8 +173,9 @@
 
 int DirectCluster::endpointPort(const std::string& endpoint) const
 {
-    const auto found = std::find(endpointNames().begin(), endpointNames().end(), endpoint);
-    return m_basePort + firstEndpointPortOffset + static_cast<int>(found - endpointNames().begin());
+    const auto index = static_cast<int>(std::find(m_names.begin(), m_names.end(), endpoint) - m_names.begin());
+    const auto usual = static_cast<int>(endpointNames().size());
+    return m_basePort + (index < usual ? firstEndpointPortOffset + index : furtherEndpointPortOffset + index - usual);
 }
 
 bool DirectCluster::isReady(int entry)
@@ -275,7 +288,7 @@
 std::vector<json::object> DirectCluster::records() const
 {
     std::vector<json::object> all;
-    for (const std::string& name : endpointNames())
+    for (const std::string& name : m_names)
         for (json::object& line : readLines(m_directory.path(name)))
             all.push_back(std::move(line));
     return all;
@@ -305,7 +318,7 @@
 std::map<std::string, int> DirectCluster::runsByEndpoint() const
 {
     std::map<std::string, int> runs;
-    for (const std::string& name : endpointNames())
+    for (const std::string& name : m_names)
         for (const json::object& line : readLines(m_directory.path(name)))
             if (line.at("what").as_string() == "run")
                 ++runs[name];
--- a/tests/direct-cluster.h
+++ b/tests/direct-cluster.h
@@ -16,6 +16,10 @@
     size_t maxBodyBytes = 0;
     // Timeout of all routes.
     Millis routeTimeout { 3000 };
+    // Endpoints of the service "print". Those after the first two are in z2, z2, z3, z3.
+    int plainEndpoints = 2;
+    // How long an endpoint runs a request with "crash" in its target before it ends.
+    Millis crashDelay { 0 };
 };
 
 // Starts a store, five endpoints and one entry in zone z1. The service "model" has the endpoints "m1" and "m2" in
@@ -101,6 +105,8 @@
     std::pair<int, std::string> explain(const std::string& words);
 
     static const std::vector<std::string>& endpointNames();
+    // Names of the endpoints of this cluster.
+    const std::vector<std::string>& names() const { return m_names; }
     static std::string serviceOf(const std::string& endpoint);
     // Address (IP:PORT) of an endpoint.
     std::string endpointAddress(const std::string& name) const;
@@ -113,12 +119,13 @@
 private:
     static HttpRequest makeRequest(std::string method, std::string target, std::string id, HeaderList headers);
     int endpointPort(const std::string& endpoint) const;
-    std::string zoneOf(const std::string& endpoint) const { return endpoint == "m3" ? "z2" : "z1"; }
+    static std::string zoneOf(const std::string& endpoint);
     void writeSettings(int entry) const;
     int entryBasePort(int entry) const;
 
     int m_basePort = 0;
     DirectClusterOptions m_options;
+    std::vector<std::string> m_names;
     std::optional<int> m_entryOutputDescriptor;
     TemporaryDirectory m_directory;
     // By KIND/NAME: 1 if the object was created, so that the next write must be a PUT.
