Take the time of day from outside where an endpoint's start is judged

The process passes it as a hook now; a start counts as future only a minute ahead, which is more than clocks differ or jump. Without the hook no start does.

--- a/cmd/main.cc
+++ b/cmd/main.cc
@@ -78,8 +78,14 @@
         addMillisOption(app, "--drain-timeout", settings.drainTimeout, 0, 3'600'000, "longest wait on shutdown for requests in progress");
     }
 
+    uint64_t unixMillis()
+    {
+        return static_cast<uint64_t>(std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch()).count());
+    }
+
     void addDirectOptions(CLI::App& app, DirectSettings& settings)
     {
+        settings.unixMillis = unixMillis;
         app.add_option("--settings-file", settings.settingsFile, "the platform's settings file; by default the path that the platform passes")->group("Addresses");
         app.add_option("--metrics-port", settings.metricsPort, "port for metrics, 0 for none")->capture_default_str()->group("Addresses");
         addMillisOption(app, "--store-timeout", settings.storeTimeout, 10, 60'000, "timeout of a call to the platform's store");
--- a/direct/direct.cc
+++ b/direct/direct.cc
@@ -93,6 +93,7 @@
     StoreWatcher::Hooks watcherHooks;
     watcherHooks.onProgress = [this](const StoreProgress& progress) { asio::post(traffic, [this, progress] { storeProgress = progress; }); };
     watcherHooks.onRestored = [this] { asio::co_spawn(controlIo, rejoinPeers(), asio::detached); };
+    watcherHooks.unixMillis = settings.unixMillis;
     watcher = std::make_unique<StoreWatcher>(controlIo.get_executor(), *store, *feed, *keeper, metrics, std::move(watcherHooks));
     store->onEraChanged([this](uint64_t era) { watcher->onEra(era); });
     auto refuseInvalid = [this](unsigned status, Reason refusalReason) {
--- a/direct/direct.h
+++ b/direct/direct.h
@@ -16,6 +16,8 @@
     Millis connectTimeout { 400 };
     // How long engines keep parts of prompts after the last request that has them.
     Millis partRetention { 0 };
+    // Unix time in milliseconds. It may jump, and only tells starts of endpoints that lie far in the future.
+    std::function<uint64_t()> unixMillis {};
 };
 
 class DirectEntry {
--- a/direct/watcher.cc
+++ b/direct/watcher.cc
@@ -316,7 +316,7 @@
 std::optional<EndpointRecord> StoreWatcher::parseEndpoint(const StoredObject& object)
 {
     std::string reason;
-    std::optional<EndpointRecord> record = decodeEndpoint(object, Clock::now(), reason);
+    std::optional<EndpointRecord> record = decodeEndpoint(object, Clock::now(), reason, m_hooks.unixMillis ? std::optional(m_hooks.unixMillis()) : std::nullopt);
     if (!record)
         log(LogLevel::Warning, "invalid endpoint left out", { { "endpoint", object.name }, { "reason", reason } });
     return record;
--- a/direct/watcher.h
+++ b/direct/watcher.h
@@ -16,6 +16,8 @@
         std::function<void(const StoreProgress&)> onProgress;
         // Called when the store has come back from an older copy.
         std::function<void()> onRestored;
+        // See DirectSettings::unixMillis.
+        std::function<uint64_t()> unixMillis {};
     };
 
     // `feed` gets what the store answers, for other entries.
--- a/entry/request.cc
+++ b/entry/request.cc
@@ -246,7 +246,7 @@
 std::optional<Refusal> Entry::State::checkAdmission(RequestContext& context)
 {
     const TimePoint now = Clock::now();
-    if (const std::optional<Refusal> refusal = checkPoison(context, now))
+    if (std::optional<Refusal> refusal = checkPoison(context, now))
         return refusal;
     const auto entries = static_cast<uint32_t>(view.config->instances.size());
     const Reason reason = fairShare.admit({ context.account, context.service, context.accountLimit, entries, serviceCapacity(context.service) });
--- a/retry/poison-test.cc
+++ b/retry/poison-test.cc
@@ -68,8 +68,8 @@
     for (const int copies : { 3, 4, 8, 20 }) {
         CAPTURE(copies);
         PoisonRecords records = recordsThatRefuseAfterThree();
-        for (int copy = 0; copy < copies; ++copy)
-            records.onDeath("d", makeDeath(static_cast<uint64_t>(copy + 1), copy, 60 + copy), start + Millis(100));
+        for (int copy = 1; copy <= copies; ++copy)
+            records.onDeath("d", makeDeath(static_cast<uint64_t>(copy), copy, 60 + copy), start + Millis(100));
         CHECK(records.verdict("d", start + Millis(100)) == PoisonVerdict::Trial);
         CHECK(records.verdict("d", start + Millis(300'000)) == PoisonVerdict::Trial);
         records.onDeath("d", makeDeath(99, 6000, 6060), start + Millis(6060));
@@ -114,10 +114,10 @@
 {
     PoisonRecords records = recordsThatRefuseAfterThree();
     const TimePoint now = start + Millis(20'000);
-    for (int time = 0; time < 4; ++time) {
-        const RequestDeath death = makeDeath(static_cast<uint64_t>(time + 1), time * 4000, time * 4000 + 60);
+    for (int time = 1; time <= 4; ++time) {
+        const RequestDeath death = makeDeath(static_cast<uint64_t>(time), time * 4000, time * 4000 + 60);
         records.onDeath("deadly", death, now);
-        if (time)
+        if (time > 1)
             records.onDeath("bystander", death, now);
     }
     CHECK(records.verdict("deadly", now) == PoisonVerdict::Refuse);
--- a/retry/suspect-trials.h
+++ b/retry/suspect-trials.h
@@ -24,7 +24,7 @@
     static constexpr size_t testers = 2;
     // After this time without another death other instances may try it.
     static constexpr Millis turn { 5000 };
-    // Turns begin at each instance when it hears of a death; until then nobody tries.
+    // Instances do not count the time since a death from the same moment, so nobody tries at the beginning of a turn.
     static constexpr Millis turnMargin { 300 };
     // An instance that was not heard for this long is not counted.
     static constexpr Millis instanceTimeout { 2000 };
--- a/tests/crash-failure-test.cc
+++ b/tests/crash-failure-test.cc
@@ -177,10 +177,12 @@
 {
     const std::vector<CrashScenario> scenarios { { 1, 1, false, false }, { 1, 6, false, true }, { 2, 4, false, false }, { 2, 3, true, true }, { 4, 12, true, false } };
     std::vector<std::unique_ptr<DirectCluster>> clusters;
+    clusters.reserve(scenarios.size());
     for (const CrashScenario& scenario : scenarios)
         clusters.push_back(makeCluster(scenario.entries));
     std::vector<CrashFigures> figures(scenarios.size());
     std::vector<std::thread> plays;
+    plays.reserve(scenarios.size());
     for (size_t play = 0; play < scenarios.size(); ++play)
         plays.emplace_back([&, play] { figures[play] = playCrashes(*clusters[play], scenarios[play]); });
     for (std::thread& play : plays)
