--- a/tests/memory-failure-test.cc
+++ b/tests/memory-failure-test.cc
@@ -303,7 +303,7 @@
     for (const char* name : { "m1", "m2", "m3" })
         cluster.removeObject("servers", name);
     for (const char* name : { "endless-1", "endless-2", "endless-3" })
-        cluster.putObject("servers", name, boost::json::object { { "service", "model" }, { "addr", endpoint.address() }, { "zone", "z1" }, { "slots", 64 }, { "state", "ready" } });
+        cluster.putObject("servers", name, boost::json::object { { "service", "model" }, { "addr", endpoint.address() }, { "zone", "z1" }, { "version", "v1" }, { "slots", 64 }, { "state", "ready" }, { "cold_left_ms", 0 }, { "seq", 1 } });
     REQUIRE(cluster.waitUntilReady());
     REQUIRE(answersOrdinaryRequest(cluster));
     for (const auto& item : endlessAnswers()) {
--- a/tests/stop-failure-test.cc
+++ b/tests/stop-failure-test.cc
@@ -128,7 +128,7 @@
     SlowEndpoint endpoint;
     cluster.removeObject("servers", "p1");
     cluster.removeObject("servers", "p2");
-    cluster.putObject("servers", "slow", boost::json::object { { "service", "print" }, { "addr", endpoint.address() }, { "zone", "z1" }, { "slots", 64 }, { "state", "ready" } });
+    cluster.putObject("servers", "slow", boost::json::object { { "service", "print" }, { "addr", endpoint.address() }, { "zone", "z1" }, { "version", "v1" }, { "slots", 64 }, { "state", "ready" }, { "cold_left_ms", 0 }, { "seq", 1 } });
     REQUIRE(cluster.waitUntilReady());
     REQUIRE(waitUntil([&] { return cluster.call("GET", "/lookup/1", "first", { { "X-Deadline-Ms", "8000" } }).status == 200; }));
     std::optional<int> exitCode;
